Thin whole path: caller, daemon, engine, settings from the table

Cause: the repository was empty. Change: workspace of five modules with the shared types (clock, ring, inventory, platform client, wire, loader), stand-ins, a daemon that relays one request after reserving a slot, yuccactl apply, and make demo.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The commands of a developer. "make demo" and "make test" are all it takes.
+MODULES := common daemon operator replayer standin
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
+LDFLAGS := -X main.version=$(VERSION)
+
+.PHONY: build demo test lint format check-format generate
+
+build:
+	go build -ldflags '$(LDFLAGS)' -o bin/yuccaspread ./daemon
+	go build -ldflags '$(LDFLAGS)' -o bin/yuccactl ./operator
+	go build -ldflags '$(LDFLAGS)' -o bin/yuccastandin ./standin
+	go build -ldflags '$(LDFLAGS)' -o bin/yuccareplay ./replayer
+
+demo: build
+	@scripts/demo
+
+test:
+	go test -race -count=1 $(PACKAGES)
+
+lint:
+	for module in $(MODULES); do (cd $$module && golangci-lint run ./...) || exit 1; done
+
+format:
+	for module in $(MODULES); do (cd $$module && golangci-lint fmt ./...) || exit 1; done
+
+check-format:
+	for module in $(MODULES); do (cd $$module && golangci-lint fmt --diff ./...) || exit 1; done
+
+generate:
+	protoc --proto_path=common/wire --go_out=common --go_opt=module=yuccaspread/common \
+		--go-drpc_out=common --go-drpc_opt=module=yuccaspread/common common/wire/*.proto
--- /dev/null
+++ b/common/hasher/hasher.go
@@ -0,0 +1,53 @@
+// Package hasher computes the hashes that daemons and engines must agree on.
+package hasher
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of the prefix blocks.
+const (
+	// BytesPerToken is the mean length of a token in bytes of text.
+	BytesPerToken = 4
+	// BlockTokens is the number of tokens in a block of an engine's cache.
+	BlockTokens = 64
+	// MaxBlocks bounds the hashes of one prompt.
+	MaxBlocks = 32
+
+	blockBytes = BlockTokens * BytesPerToken
+)
+
+// Tokens estimates the number of tokens in text, at least 1.
+func Tokens(text string) int {
+	return max(1, (len(text)+BytesPerToken-1)/BytesPerToken)
+}
+
+// Prefix returns a hash for each whole block of the prompt, each of which
+// covers all blocks before it, and at most MaxBlocks of them.
+func Prefix(prompt string) []uint64 {
+	count := min(len(prompt)/blockBytes, MaxBlocks)
+	hashes := make([]uint64, 0, count)
+	var previous [8]byte
+	for i := range count {
+		digest := xxhash.New()
+		_, _ = digest.Write(previous[:])
+		_, _ = digest.WriteString(prompt[i*blockBytes : (i+1)*blockBytes])
+		sum := digest.Sum64()
+		binary.LittleEndian.PutUint64(previous[:], sum)
+		hashes = append(hashes, sum)
+	}
+	return hashes
+}
+
+// Fingerprint identifies a request by what an upstream would see of it.
+func Fingerprint(organisation, route string, body []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(organisation)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(route)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/common/inventory/delta_test.go
@@ -0,0 +1,42 @@
+package inventory_test
+
+import (
+	"reflect"
+	"testing"
+
+	"yuccaspread/common/inventory"
+)
+
+func TestDiffLeadsToTheWantedConfiguration(t *testing.T) {
+	old := inventory.Config{
+		Revision: 4,
+		Pools:    []inventory.Pool{{Name: "a"}, {Name: "b", Version: "v1"}},
+		Limits:   inventory.Limits{RetryShare: 0.2},
+	}
+	wanted := inventory.Config{
+		Pools: []inventory.Pool{{Name: "b", Version: "v2"}, {Name: "c"}},
+		Tiers: []inventory.Tier{{Name: "t"}},
+	}
+	delta, err := old.Diff(wanted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := old.Apply(delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wanted.Revision = 5
+	if !reflect.DeepEqual(got, wanted) {
+		t.Fatalf("got %+v, want %+v", got, wanted)
+	}
+	if old.Pools[1].Version != "v1" {
+		t.Fatal("the old configuration was changed in place")
+	}
+}
+
+func TestApplyRefusesAnotherBase(t *testing.T) {
+	old := inventory.Config{Revision: 4}
+	if _, err := old.Apply(inventory.Delta{Base: 3}); err == nil {
+		t.Fatal("a change of an older revision was applied")
+	}
+}
--- /dev/null
+++ b/common/platform/http.go
@@ -0,0 +1,306 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+)
+
+// maxReplyBytes bounds what is read of one reply.
+const maxReplyBytes = 64 << 20
+
+// NewHTTP returns a client for a platform whose services all stand behind
+// base, such as "http://127.0.0.1:7000". The table speaks the JSON form of
+// the etcd version 3 key-value protocol, the object store plain GET, PUT and
+// DELETE as S3 does.
+func NewHTTP(base string, doer *http.Client) Client {
+	if doer == nil {
+		doer = http.DefaultClient
+	}
+	edge := edge{base: strings.TrimRight(base, "/"), doer: doer}
+	return Client{
+		Table:       &httpTable{edge},
+		ObjectStore: &httpObjects{edge},
+		VMList:      &httpVMs{edge},
+		WeightStore: &httpWeights{edge},
+	}
+}
+
+// edge sends single calls; it retries nothing.
+type edge struct {
+	base string
+	doer *http.Client
+}
+
+// call sends one request and returns the body of a 2xx reply. mutates tells
+// whether a lost reply leaves the effect unknown.
+func (e edge) call(ctx context.Context, op, method, path string, body []byte, mutates bool) (reply []byte, err error) {
+	certainty := NotDone
+	defer func() {
+		if err != nil {
+			err = &Error{Op: op, Certainty: certainty, Err: err}
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout.Duration())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send a body a second time by itself.
+	req.GetBody = nil
+	res, err := e.doer.Do(req)
+	if err != nil {
+		if mutates && !errors.Is(err, syscall.ECONNREFUSED) {
+			certainty = Unknown
+		}
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	reply, err = io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if err != nil {
+		if mutates {
+			certainty = Unknown
+		}
+		return nil, err
+	}
+	return reply, e.judge(res.StatusCode, reply, mutates, &certainty)
+}
+
+// judge turns a status into an error. The platform promises that it has done
+// nothing where it answers 4xx or 503; any other failure may have taken effect.
+func (e edge) judge(status int, reply []byte, mutates bool, certainty *Certainty) error {
+	switch {
+	case status/100 == 2:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status/100 == 4 || status == http.StatusServiceUnavailable:
+		return fmt.Errorf("status %d: %s", status, firstLine(reply))
+	default:
+		if mutates {
+			*certainty = Unknown
+		}
+		return fmt.Errorf("status %d: %s", status, firstLine(reply))
+	}
+}
+
+func firstLine(reply []byte) string {
+	line, _, _ := strings.Cut(string(reply), "\n")
+	return line[:min(len(line), 200)]
+}
+
+type httpTable struct{ edge }
+
+// wireRow is a row as the etcd protocol writes it: base64 content, 64 bit
+// numbers as strings.
+type wireRow struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+}
+
+type wireRange struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
+}
+
+type wireCompare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type wireOp struct {
+	Put    *wireRow   `json:"request_put,omitempty"`
+	Delete *wireRange `json:"request_delete_range,omitempty"`
+	Range  *wireRange `json:"request_range,omitempty"`
+}
+
+type wireRows struct {
+	Rows []wireRow `json:"kvs"`
+}
+
+// Read implements Table by one transaction without conditions.
+func (t *httpTable) Read(ctx context.Context, keys ...string) (rows []Row, err error) {
+	_, rows, err = t.transact(ctx, "table.read", Txn{}, keys, false)
+	return rows, err
+}
+
+// Scan implements Table.
+func (t *httpTable) Scan(ctx context.Context, prefix, from string, limit int) (rows []Row, err error) {
+	start := max(prefix, from)
+	body, err := json.Marshal(wireRange{Key: []byte(start), RangeEnd: prefixEnd(prefix), Limit: int64(limit)})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := t.call(ctx, "table.scan", http.MethodPost, "/v3/kv/range", body, false)
+	if err != nil {
+		return nil, err
+	}
+	var answer wireRows
+	if err = json.Unmarshal(reply, &answer); err != nil {
+		return nil, &Error{Op: "table.scan", Certainty: NotDone, Err: err}
+	}
+	return plainRows(answer.Rows), nil
+}
+
+// Apply implements Table.
+func (t *httpTable) Apply(ctx context.Context, txn Txn) (result TxnResult, err error) {
+	keys := make([]string, 0, len(txn.Conditions))
+	for _, c := range txn.Conditions {
+		keys = append(keys, c.Key)
+	}
+	result, rows, err := t.transact(ctx, "table.apply", txn, keys, true)
+	if !result.Applied {
+		result.Rows = rows
+	}
+	return result, err
+}
+
+// transact sends one transaction. The rows of reads come back where the
+// conditions fail, or in any case where the transaction writes nothing.
+func (t *httpTable) transact(ctx context.Context, op string, txn Txn, reads []string, mutates bool) (result TxnResult, rows []Row, err error) {
+	body, err := encodeTxn(txn, reads, mutates)
+	if err != nil {
+		return result, nil, err
+	}
+	reply, err := t.call(ctx, op, http.MethodPost, "/v3/kv/txn", body, mutates)
+	if err != nil {
+		return result, nil, err
+	}
+	var answer struct {
+		Header struct {
+			Revision int64 `json:"revision,string"`
+		} `json:"header"`
+		Succeeded bool `json:"succeeded"`
+		Responses []struct {
+			Range *wireRows `json:"response_range"`
+		} `json:"responses"`
+	}
+	if err = json.Unmarshal(reply, &answer); err != nil {
+		certainty := NotDone
+		if mutates {
+			certainty = Unknown
+		}
+		return result, nil, &Error{Op: op, Certainty: certainty, Err: err}
+	}
+	result = TxnResult{Applied: answer.Succeeded, Version: answer.Header.Revision}
+	for _, r := range answer.Responses {
+		if r.Range != nil {
+			rows = append(rows, plainRows(r.Range.Rows)...)
+		}
+	}
+	return result, rows, nil
+}
+
+func encodeTxn(txn Txn, reads []string, mutates bool) (body []byte, err error) {
+	var req struct {
+		Compare []wireCompare `json:"compare,omitempty"`
+		Success []wireOp      `json:"success,omitempty"`
+		Failure []wireOp      `json:"failure,omitempty"`
+	}
+	for _, c := range txn.Conditions {
+		req.Compare = append(req.Compare, wireCompare{Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: c.Version})
+	}
+	for _, w := range txn.Writes {
+		if w.Delete {
+			req.Success = append(req.Success, wireOp{Delete: &wireRange{Key: []byte(w.Key)}})
+			continue
+		}
+		req.Success = append(req.Success, wireOp{Put: &wireRow{Key: []byte(w.Key), Value: w.Value}})
+	}
+	for _, key := range reads {
+		op := wireOp{Range: &wireRange{Key: []byte(key)}}
+		if mutates {
+			req.Failure = append(req.Failure, op)
+			continue
+		}
+		req.Success = append(req.Success, op)
+	}
+	return json.Marshal(req)
+}
+
+func plainRows(in []wireRow) []Row {
+	rows := make([]Row, 0, len(in))
+	for _, r := range in {
+		rows = append(rows, Row{Key: string(r.Key), Value: r.Value, Version: r.ModRevision})
+	}
+	return rows
+}
+
+// prefixEnd returns the first key after all that have the prefix, or the
+// protocol's sign for "to the end" where there is none.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+type httpObjects struct{ edge }
+
+func objectPath(name string) string {
+	return "/objects/" + url.PathEscape(name)
+}
+
+// Get implements ObjectStore.
+func (o *httpObjects) Get(ctx context.Context, name string) (value []byte, err error) {
+	return o.call(ctx, "objects.get", http.MethodGet, objectPath(name), nil, false)
+}
+
+// Put implements ObjectStore.
+func (o *httpObjects) Put(ctx context.Context, name string, value []byte) (err error) {
+	_, err = o.call(ctx, "objects.put", http.MethodPut, objectPath(name), value, true)
+	return err
+}
+
+// Delete implements ObjectStore.
+func (o *httpObjects) Delete(ctx context.Context, name string) (err error) {
+	_, err = o.call(ctx, "objects.delete", http.MethodDelete, objectPath(name), nil, true)
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+type httpVMs struct{ edge }
+
+// VMs implements VMList.
+func (v *httpVMs) VMs(ctx context.Context) (vms []VM, err error) {
+	reply, err := v.call(ctx, "vms.list", http.MethodGet, "/vms", nil, false)
+	if err != nil {
+		return nil, err
+	}
+	if err = json.Unmarshal(reply, &vms); err != nil {
+		return nil, &Error{Op: "vms.list", Certainty: NotDone, Err: err}
+	}
+	return vms, nil
+}
+
+type httpWeights struct{ edge }
+
+// Status implements WeightStore.
+func (w *httpWeights) Status(ctx context.Context) (status WeightStatus, err error) {
+	reply, err := w.call(ctx, "weights.status", http.MethodGet, "/weights", nil, false)
+	if err != nil {
+		return status, err
+	}
+	if err = json.Unmarshal(reply, &status); err != nil {
+		return status, &Error{Op: "weights.status", Certainty: NotDone, Err: err}
+	}
+	return status, nil
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,50 @@
+// Command yuccaspread is the daemon that stands between callers and upstreams.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/loader"
+	"yuccaspread/common/logger"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	var path string
+	var check bool
+	flaggy.SetName("yuccaspread")
+	flaggy.SetDescription("Request scheduler for unlike language model engines and plain services.")
+	flaggy.SetVersion(version)
+	flaggy.String(&path, "s", "settings", "TOML file with the settings")
+	flaggy.Bool(&check, "c", "check", "only check the settings")
+	flaggy.Parse()
+	logger.Setup(os.Stderr, "yuccaspread", false)
+	if err := run(path, check); err != nil {
+		klog.ErrorS(err, "stopped")
+		klog.Flush()
+		os.Exit(1)
+	}
+}
+
+func run(path string, check bool) (err error) {
+	var s settings
+	if err = loader.Load(path, "YUCCASPREAD", &s); err != nil || check {
+		return err
+	}
+	logger.Setup(os.Stderr, "yuccaspread", s.Verbose)
+	app := fx.New(duties(s), fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
+	if err = app.Start(context.Background()); err != nil {
+		return err
+	}
+	<-app.Done()
+	klog.InfoS("stopping")
+	return app.Stop(context.Background())
+}
--- /dev/null
+++ b/daemon/reserver/local.go
@@ -0,0 +1,121 @@
+package reserver
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/refuser"
+)
+
+// Local hands out slots without asking a scheduler: this daemon alone uses a
+// share of every upstream. It serves while no scheduler answers. Its exported
+// fields are set before use.
+type Local struct {
+	Source inventory.Source
+	Clock  clock.Clock
+	// Daemons returns the number of daemons that share the upstreams, above 0;
+	// nil stands for 1.
+	Daemons func() int
+
+	mu sync.Mutex
+	// running counts the slots in use by upstream; no entry is 0.
+	running map[string]int
+	// freed is closed and replaced when a slot is given back.
+	freed chan struct{}
+}
+
+// Reserve implements Reserver.
+func (l *Local) Reserve(ctx context.Context, req *classifier.Request, excluded []string) (slot Slot, err error) {
+	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - l.Clock.Now()).Duration())
+	defer cancel()
+	for {
+		upstream, found, wait := l.take(req, excluded)
+		if found {
+			return &localSlot{local: l, upstream: upstream}, nil
+		}
+		if wait == nil {
+			return nil, refuser.New(http.StatusServiceUnavailable, "no upstream", "no upstream serves pool "+req.Pool)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, refuser.New(http.StatusServiceUnavailable, "deadline", "no slot came free before the deadline")
+		}
+	}
+}
+
+// take reserves the least used upstream. Where all are full it returns a
+// channel that is closed when to try again; where none exists it returns nil.
+func (l *Local) take(req *classifier.Request, excluded []string) (best inventory.Upstream, found bool, wait <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running == nil {
+		l.running = map[string]int{}
+		l.freed = make(chan struct{})
+	}
+	exists := false
+	for _, u := range l.Source.Current().Upstreams {
+		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) {
+			continue
+		}
+		exists = true
+		if l.running[u.Name] >= l.share(u) {
+			continue
+		}
+		if !found || l.running[u.Name]*best.Slots < l.running[best.Name]*u.Slots {
+			best, found = u, true
+		}
+	}
+	if found {
+		l.running[best.Name]++
+		return best, true, nil
+	}
+	if !exists {
+		return best, false, nil
+	}
+	return best, false, l.freed
+}
+
+func (l *Local) share(u inventory.Upstream) int {
+	daemons := 1
+	if l.Daemons != nil {
+		daemons = max(l.Daemons(), 1)
+	}
+	return max(u.Slots/daemons, 1)
+}
+
+func (l *Local) giveBack(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[name]--
+	if l.running[name] == 0 {
+		delete(l.running, name)
+	}
+	close(l.freed)
+	l.freed = make(chan struct{})
+}
+
+type localSlot struct {
+	local    *Local
+	upstream inventory.Upstream
+	once     sync.Once
+}
+
+// Upstream implements Slot.
+func (s *localSlot) Upstream() inventory.Upstream { return s.upstream }
+
+// FirstToken implements Slot.
+func (s *localSlot) FirstToken(int) {}
+
+// End implements Slot.
+func (s *localSlot) End(Usage) {
+	s.once.Do(func() { s.local.giveBack(s.upstream.Name) })
+}
+
+// Withdrawn implements Slot; a local slot never is.
+func (s *localSlot) Withdrawn() <-chan struct{} { return nil }
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,20 @@
+package main
+
+// settings is the file of the program.
+type settings struct {
+	// Name is the name of the VM, unique among all daemons.
+	Name string `toml:"name" validate:"required"`
+	// Listen is the IP number and port for callers and operators.
+	Listen string `toml:"listen" validate:"required,hostname_port"`
+	// PeerListen is the IP number and port for other daemons.
+	PeerListen string `toml:"peer_listen" validate:"required,hostname_port"`
+	// Region and FailureDomain say where the VM stands.
+	Region        string `toml:"region" validate:"required"`
+	FailureDomain string `toml:"failure_domain" validate:"required"`
+	// Platform is the base URL of the platform's services.
+	Platform string `toml:"platform" validate:"required,url"`
+	// BootstrapTokenSHA256 admits a first operator while there is none.
+	BootstrapTokenSHA256 string `toml:"bootstrap_token_sha256" validate:"omitempty,sha256"`
+	// Verbose adds debug lines to the log.
+	Verbose bool `toml:"verbose"`
+}
--- /dev/null
+++ b/standin/answerer/answerer.go
@@ -0,0 +1,78 @@
+// Package answerer is a stand-in for a plain HTTP service, such as a booking
+// application or a registry, whose calls must not be repeated.
+package answerer
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"yuccaspread/common/clock"
+)
+
+// maxBodyBytes bounds a request's body.
+const maxBodyBytes = 16 << 20
+
+// Answerer is one service. Its exported fields are set before Register.
+type Answerer struct {
+	// Name is told in the header X-Upstream.
+	Name string
+	// Delay is the time that a call takes.
+	Delay clock.Millis
+
+	mu sync.Mutex
+	// runs counts the calls by their Idempotency-Key.
+	runs map[string]int
+}
+
+// Register adds the handlers to router. GET /runs tells how often each
+// Idempotency-Key ran; every other path is a call of the service.
+func (a *Answerer) Register(router *mux.Router) {
+	router.HandleFunc("/runs", a.serveRuns).Methods(http.MethodGet)
+	router.HandleFunc("/v1/load", a.serveLoad).Methods(http.MethodGet)
+	router.PathPrefix("/").HandlerFunc(a.serveCall)
+}
+
+func (a *Answerer) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(struct {
+		TimeMS clock.Millis `json:"time_ms"`
+	}{clock.System{}.Now()})
+}
+
+func (a *Answerer) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(a.runs)
+}
+
+func (a *Answerer) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	run := a.record(key)
+	time.Sleep(a.Delay.Duration())
+	w.Header().Set("X-Upstream", a.Name)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Key  string `json:"key"`
+		Run  int    `json:"run"`
+		Echo string `json:"echo"`
+	}{key, run, string(body)})
+}
+
+func (a *Answerer) record(key string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.runs == nil {
+		a.runs = map[string]int{}
+	}
+	a.runs[key]++
+	return a.runs[key]
+}
--- /dev/null
+++ b/standin/generator/generator.go
@@ -0,0 +1,258 @@
+// Package generator is a stand-in for a language model engine: it batches
+// continuously, caches prompt prefixes in bounded memory, knows no tiers and
+// streams tokens in the OpenAI form. What it answers follows from the prompt
+// alone, so that a caller can check that an answer is whole and its own.
+package generator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/hasher"
+)
+
+// maxBodyBytes bounds a request's body.
+const maxBodyBytes = 16 << 20
+
+// defaultMaxTokens is the length of answers to requests that name none.
+const defaultMaxTokens = 16
+
+// Generator is one engine. Its exported fields are set before Register.
+type Generator struct {
+	// Name is told in the header X-Upstream.
+	Name string
+	// Version is the version that the engine serves at the start.
+	Version string
+	// Slots is the number of requests that run at once; others wait, in order.
+	Slots int
+	// PrefillTokensPerSecond is the speed of reading prompts.
+	PrefillTokensPerSecond float64
+	// TokenGap is the time between tokens of a lone request.
+	TokenGap clock.Millis
+	// GapPerRequest is what each further running request adds to the gap.
+	GapPerRequest clock.Millis
+	// CacheBlocks bounds the prefix cache, in blocks.
+	CacheBlocks int
+
+	once  sync.Once
+	slots chan struct{}
+
+	mu      sync.Mutex
+	running int
+	waiting int
+	cache   prefixCache
+	served  int
+}
+
+// chatRequest is the part of an OpenAI request that the engine reads.
+type chatRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Prompt    string `json:"prompt"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// Text returns the prompt as one text, whichever form the request has.
+func (c chatRequest) Text() string {
+	var all strings.Builder
+	all.WriteString(c.Prompt)
+	for _, m := range c.Messages {
+		all.WriteString(m.Role + ":" + m.Content + "\n")
+	}
+	return all.String()
+}
+
+// Answer returns the tokens that every engine gives for the prompt.
+func Answer(prompt string, count int) []string {
+	tokens := make([]string, count)
+	sum := hasher.Fingerprint("", "", []byte(prompt))
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("%04x-%d ", sum&0xffff, i)
+	}
+	return tokens
+}
+
+// Register adds the engine's handlers to router.
+func (g *Generator) Register(router *mux.Router) {
+	g.once.Do(func() {
+		g.slots = make(chan struct{}, max(g.Slots, 1))
+		g.cache.capacity = g.CacheBlocks
+	})
+	router.HandleFunc("/v1/chat/completions", g.serveCompletion).Methods(http.MethodPost)
+	router.HandleFunc("/v1/completions", g.serveCompletion).Methods(http.MethodPost)
+	router.HandleFunc("/v1/load", g.serveLoad).Methods(http.MethodGet)
+}
+
+func (g *Generator) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(struct {
+		TimeMS  clock.Millis `json:"time_ms"`
+		Running int          `json:"running"`
+		Waiting int          `json:"waiting"`
+		Version string       `json:"version"`
+		Served  int          `json:"served"`
+	}{clock.System{}.Now(), g.running, g.waiting, g.Version, g.served})
+}
+
+func (g *Generator) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	if !g.enter(r.Context()) {
+		return
+	}
+	defer g.leave()
+	prompt := req.Text()
+	cached := g.prefill(r.Context(), prompt)
+	w.Header().Set("X-Upstream", g.Name)
+	w.Header().Set("X-Version", g.Version)
+	w.Header().Set("X-Cached-Tokens", fmt.Sprint(cached))
+	if req.Stream {
+		g.stream(r.Context(), w, req, prompt)
+		return
+	}
+	g.whole(r.Context(), w, req, prompt)
+}
+
+// enter waits for a slot; it returns false when the caller left.
+func (g *Generator) enter(ctx context.Context) bool {
+	g.count(0, 1)
+	defer g.count(0, -1)
+	select {
+	case g.slots <- struct{}{}:
+		g.count(1, 0)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *Generator) leave() {
+	g.count(-1, 0)
+	<-g.slots
+}
+
+func (g *Generator) count(running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running += running
+	g.waiting += waiting
+	if running > 0 {
+		g.served++
+	}
+}
+
+// prefill takes the time to read the uncached part of the prompt and returns
+// the number of cached tokens.
+func (g *Generator) prefill(ctx context.Context, prompt string) int {
+	blocks := hasher.Prefix(prompt)
+	g.mu.Lock()
+	hits := g.cache.hits(blocks)
+	g.cache.add(blocks)
+	g.mu.Unlock()
+	cached := hits * hasher.BlockTokens
+	fresh := max(hasher.Tokens(prompt)-cached, 0)
+	if g.PrefillTokensPerSecond > 0 {
+		seconds := float64(fresh) / g.PrefillTokensPerSecond
+		sleep(ctx, time.Duration(seconds*float64(time.Second)))
+	}
+	return cached
+}
+
+func (g *Generator) gap() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return (g.TokenGap + g.GapPerRequest*clock.Millis(max(g.running-1, 0))).Duration()
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completion struct {
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (g *Generator) whole(ctx context.Context, w http.ResponseWriter, req chatRequest, prompt string) {
+	tokens := Answer(prompt, req.MaxTokens)
+	for range tokens {
+		sleep(ctx, g.gap())
+	}
+	stop := "stop"
+	count := hasher.Tokens(prompt)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(completion{
+		Object: "chat.completion", Model: req.Model,
+		Choices: []choice{{Message: &message{Role: "assistant", Content: strings.Join(tokens, "")}, FinishReason: &stop}},
+		Usage:   &usage{PromptTokens: count, CompletionTokens: len(tokens), TotalTokens: count + len(tokens)},
+	})
+}
+
+func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, req chatRequest, prompt string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	stop := "stop"
+	for i, token := range Answer(prompt, req.MaxTokens) {
+		sleep(ctx, g.gap())
+		if ctx.Err() != nil {
+			return
+		}
+		event(w, i+1, completion{Object: "chat.completion.chunk", Model: req.Model, Choices: []choice{{Delta: &message{Content: token}}}})
+		_ = flusher.Flush()
+	}
+	event(w, req.MaxTokens+1, completion{Object: "chat.completion.chunk", Model: req.Model, Choices: []choice{{Delta: &message{}, FinishReason: &stop}}})
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	_ = flusher.Flush()
+}
+
+func event(w http.ResponseWriter, id int, value any) {
+	body, _ := json.Marshal(value)
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, body)
+}
--- /dev/null
+++ b/standin/settings.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/standin/caller"
+)
+
+// settings is the file of the program.
+type settings struct {
+	Platform platformSettings  `toml:"platform"`
+	Engines  []engineSettings  `toml:"engines" validate:"dive"`
+	Services []serviceSettings `toml:"services" validate:"dive"`
+	Callers  callerSettings    `toml:"callers"`
+}
+
+// callerSettings are used by the call command alone.
+type callerSettings struct {
+	// Daemons are base URLs of daemons.
+	Daemons  []string      `toml:"daemons" validate:"dive,url"`
+	Region   string        `toml:"region"`
+	Requests int           `toml:"requests" validate:"gte=0"`
+	Parallel int           `toml:"parallel" validate:"gte=0"`
+	Kinds    []caller.Kind `toml:"kinds"`
+}
+
+type platformSettings struct {
+	// Listen is an IP number and a port; empty starts no platform.
+	Listen string `toml:"listen" validate:"omitempty,hostname_port"`
+}
+
+type engineSettings struct {
+	Name                   string       `toml:"name" validate:"required"`
+	Listen                 string       `toml:"listen" validate:"required,hostname_port"`
+	Version                string       `toml:"version"`
+	Slots                  int          `toml:"slots" validate:"gt=0"`
+	PrefillTokensPerSecond float64      `toml:"prefill_tokens_per_second" validate:"gte=0"`
+	TokenGapMS             clock.Millis `toml:"token_gap_ms" validate:"gte=0"`
+	GapPerRequestMS        clock.Millis `toml:"gap_per_request_ms" validate:"gte=0"`
+	CacheBlocks            int          `toml:"cache_blocks" validate:"gte=0"`
+}
+
+type serviceSettings struct {
+	Name    string       `toml:"name" validate:"required"`
+	Listen  string       `toml:"listen" validate:"required,hostname_port"`
+	DelayMS clock.Millis `toml:"delay_ms" validate:"gte=0"`
+}
