--- /dev/null
+++ b/daemon/duty_ingress.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/administrator"
+	"yuccaspread/daemon/configurer"
+	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/resolver"
+)
+
+func ingressDuty() fx.Option {
+	return fx.Module("ingress",
+		fx.Provide(
+			func(s settings, c *configurer.Configurer) *administrator.Administrator {
+				return &administrator.Administrator{Configurer: c, BootstrapTokenSHA256: s.BootstrapTokenSHA256}
+			},
+			func(s settings, source inventory.Source) *resolver.Resolver {
+				own := resolver.Static{{Address: s.Listen, Region: s.Region}}
+				return &resolver.Resolver{Source: source, Members: own}
+			},
+			newRouter,
+		),
+		fx.Invoke(serve),
+	)
+}
+
+// pageSet is a group of handlers that a duty adds to the listening router
+// through the fx group "pages".
+type pageSet func(router *mux.Router)
+
+type routerNeeds struct {
+	fx.In
+
+	Source        inventory.Source
+	Clock         clock.Clock
+	Handler       listener.Handler
+	Administrator *administrator.Administrator
+	Resolver      *resolver.Resolver
+	Configurer    *configurer.Configurer
+	Pages         []pageSet `group:"pages"`
+}
+
+func newRouter(n routerNeeds) *mux.Router {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Configurer.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	n.Administrator.Register(router)
+	n.Resolver.Register(router)
+	for _, page := range n.Pages {
+		page(router)
+	}
+	router.PathPrefix("/").Handler(&listener.Listener{Source: n.Source, Clock: n.Clock, Handler: n.Handler})
+	return router
+}
+
+// headerTimeout bounds the time that a caller may take to send its headers.
+const headerTimeout = 5 * clock.Second
+
+// serve opens the listening socket at the start and waits for the requests in
+// progress at the stop.
+func serve(l fx.Lifecycle, s settings, router *mux.Router) {
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout.Duration()}
+	l.Append(fx.Hook{
+		OnStart: func(ctx context.Context) (err error) {
+			var config net.ListenConfig
+			socket, err := config.Listen(ctx, "tcp", s.Listen)
+			if err != nil {
+				return err
+			}
+			klog.InfoS("listening", "address", s.Listen)
+			go serveOn(server, socket)
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+}
+
+func serveOn(server *http.Server, socket net.Listener) {
+	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "no longer listening")
+	}
+}
--- /dev/null
+++ b/daemon/duty_peer.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"net"
+
+	"go.uber.org/fx"
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccaspread/daemon/connector"
+)
+
+// peerService registers a service for other daemons; duties provide it
+// through the fx group "peer_services".
+type peerService func(mux drpc.Mux) error
+
+type peerNeeds struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  settings
+	Services  []peerService `group:"peer_services"`
+}
+
+// peerDuty serves other daemons and connects to them.
+func peerDuty() fx.Option {
+	return fx.Module("peers",
+		fx.Provide(func(l fx.Lifecycle) *connector.Connector {
+			c := connector.New(nil)
+			l.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+			return c
+		}),
+		fx.Invoke(servePeers),
+	)
+}
+
+// servePeers listens for other daemons until the stop.
+func servePeers(n peerNeeds) (err error) {
+	mux := drpcmux.New()
+	for _, register := range n.Services {
+		if err = register(mux); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.Lifecycle.Append(fx.Hook{
+		OnStart: func(start context.Context) (err error) {
+			var config net.ListenConfig
+			socket, err := config.Listen(start, "tcp", n.Settings.PeerListen)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := drpcserver.New(mux).Serve(ctx, socket); err != nil && ctx.Err() == nil {
+					klog.ErrorS(err, "no longer serving daemons")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+	return nil
+}
--- /dev/null
+++ b/daemon/scheduler/messages.go
@@ -0,0 +1,185 @@
+// Package scheduler decides which waiting request gets which slot of a
+// shard's upstreams. It is pure: typed messages with a clock reading go in,
+// typed effects come out.
+package scheduler
+
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/reserver"
+)
+
+// AskID identifies an ask: the asking daemon and its number there.
+type AskID struct {
+	Daemon string `json:"daemon"`
+	Number uint64 `json:"number"`
+}
+
+// Message is one of the message types of this package.
+type Message interface{ message() }
+
+// Ask asks for a slot.
+type Ask struct {
+	ID           AskID        `json:"id"`
+	Organisation string       `json:"organisation"`
+	Route        string       `json:"route"`
+	Tier         int          `json:"tier"`
+	Deadline     clock.Millis `json:"deadline_ms"`
+	PromptTokens int          `json:"prompt_tokens"`
+	// MaxTokens is the caller's bound of the output, 0 for none.
+	MaxTokens    int      `json:"max_tokens"`
+	Idempotent   bool     `json:"idempotent"`
+	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
+	Fingerprint  uint64   `json:"fingerprint"`
+	// Excluded names upstreams on which earlier attempts failed.
+	Excluded []string `json:"excluded,omitempty"`
+}
+
+// Cancel takes back an ask that waits, or a grant that was not used.
+type Cancel struct {
+	ID AskID `json:"id"`
+}
+
+// FirstToken reports the first token of a granted request.
+type FirstToken struct {
+	ID           AskID `json:"id"`
+	CachedTokens int   `json:"cached_tokens"`
+}
+
+// End reports that a granted request no longer uses its slot.
+type End struct {
+	ID    AskID          `json:"id"`
+	Usage reserver.Usage `json:"usage"`
+}
+
+// Announce tells a new scheduler of a grant that an earlier one gave.
+type Announce struct {
+	Ask        Ask    `json:"ask"`
+	Upstream   string `json:"upstream"`
+	FirstToken bool   `json:"first_token"`
+}
+
+// DaemonGone ends all asks and grants of a daemon.
+type DaemonGone struct {
+	Daemon string `json:"daemon"`
+}
+
+// Upstreams replaces the list of the shard's upstreams; running requests on
+// upstreams that are left out stay known until they end.
+type Upstreams struct {
+	List []inventory.Upstream `json:"list"`
+}
+
+// Rules replaces the tiers, organisation weights and limits in force.
+type Rules struct {
+	Tiers   []inventory.Tier `json:"tiers"`
+	Weights map[string]int   `json:"weights"`
+	Limits  inventory.Limits `json:"limits"`
+}
+
+// Load is a load report of an upstream, taken at Time, which may be old.
+type Load struct {
+	Upstream string       `json:"upstream"`
+	Time     clock.Millis `json:"time_ms"`
+	Running  int          `json:"running"`
+	Waiting  int          `json:"waiting"`
+	Version  string       `json:"version"`
+	Leaving  bool         `json:"leaving"`
+}
+
+// CacheChange is one late and possibly incomplete batch of cache events.
+type CacheChange struct {
+	Upstream string `json:"upstream"`
+	// Gap tells that events before these were lost.
+	Gap     bool     `json:"gap"`
+	Stored  []uint64 `json:"stored,omitempty"`
+	Removed []uint64 `json:"removed,omitempty"`
+}
+
+// Health tells whether an upstream answers at all.
+type Health struct {
+	Upstream string `json:"upstream"`
+	Up       bool   `json:"up"`
+}
+
+// Shares replaces the shares of traffic by version for a move; a version
+// that is not named gets what is left. A share of 0 stops a version.
+type Shares struct {
+	Shares map[string]float64 `json:"shares"`
+	// Routes limits a version to these routes; no entry means all routes.
+	Routes map[string][]string `json:"routes,omitempty"`
+	// NonIdempotent names the versions that get non-idempotent requests too.
+	NonIdempotent []string `json:"non_idempotent,omitempty"`
+}
+
+// RegionTier tells the lowest tier that another scheduler of the region still
+// admits: the highest rank.
+type RegionTier struct {
+	Scheduler string `json:"scheduler"`
+	Lowest    int    `json:"lowest"`
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Ask) message()         {}
+func (Cancel) message()      {}
+func (FirstToken) message()  {}
+func (End) message()         {}
+func (Announce) message()    {}
+func (DaemonGone) message()  {}
+func (Upstreams) message()   {}
+func (Rules) message()       {}
+func (Load) message()        {}
+func (CacheChange) message() {}
+func (Health) message()      {}
+func (Shares) message()      {}
+func (RegionTier) message()  {}
+func (Tick) message()        {}
+
+// Effect is one of the effect types of this package.
+type Effect interface{ effect() }
+
+// Grant gives a slot.
+type Grant struct {
+	ID       AskID  `json:"id"`
+	Upstream string `json:"upstream"`
+	Version  string `json:"version"`
+	// Expires is when the grant ends unless the request was sent.
+	Expires clock.Millis `json:"expires_ms"`
+}
+
+// Reason tells why an ask is refused.
+type Reason int
+
+// The reasons.
+const (
+	// ReasonDeadline means that the deadline can no longer be met.
+	ReasonDeadline Reason = iota
+	// ReasonFull means that the queue is full of requests not less important.
+	ReasonFull
+	// ReasonNoUpstream means that no upstream serves the ask.
+	ReasonNoUpstream
+)
+
+// Refuse refuses an ask that waited or came.
+type Refuse struct {
+	ID         AskID        `json:"id"`
+	Reason     Reason       `json:"reason"`
+	RetryAfter clock.Millis `json:"retry_after_ms"`
+}
+
+// Withdraw asks for the cancellation of a running lower-tier request.
+type Withdraw struct {
+	ID AskID `json:"id"`
+}
+
+// LowestTier tells the lowest tier that this scheduler admits, on change.
+type LowestTier struct {
+	Lowest int `json:"lowest"`
+}
+
+func (Grant) effect()      {}
+func (Refuse) effect()     {}
+func (Withdraw) effect()   {}
+func (LowestTier) effect() {}
