Metrics page, traces by settings, TLS with reloaded key files

Cause: the daemon could not be observed and spoke in the clear only. Change: /metrics from one registry given to fx; common/tracer with the exporters none, stdout and OTLP over HTTP; common/reloader reads TLS key files again when they change, towards callers and between daemons; header and idle bounds on the listening socket. Conclusion: duties can register metrics and open spans.

--- a/daemon/connector/connector.go
+++ b/daemon/connector/connector.go
@@ -25,15 +25,15 @@
 
 // Connector reaches other daemons. Its exported fields are set before use.
 type Connector struct {
-	// TLS is used on every connection; nil sends in the clear.
-	TLS *tls.Config
+	// TLS returns the configuration of a new connection; nil sends in the clear.
+	TLS func() *tls.Config
 
 	// pool keeps idle connections for single calls by address.
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 }
 
 // New returns a connector without connections.
-func New(config *tls.Config) *Connector {
+func New(config func() *tls.Config) *Connector {
 	return &Connector{TLS: config, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout.Duration(), Capacity: poolSize, KeyCapacity: poolPerDaemon,
 	})}
@@ -71,7 +71,7 @@
 		}
 		return drpcconn.New(plain), nil
 	}
-	secure, err := (&tls.Dialer{NetDialer: dialer, Config: c.TLS}).DialContext(ctx, "tcp", address)
+	secure, err := (&tls.Dialer{NetDialer: dialer, Config: c.TLS()}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/reloader"
 	"yuccaspread/daemon/administrator"
 	"yuccaspread/daemon/configurer"
 	"yuccaspread/daemon/listener"
@@ -67,17 +69,45 @@
 	return router
 }
 
-// headerTimeout bounds the time that a caller may take to send its headers.
-const headerTimeout = 5 * clock.Second
+// Bounds towards callers.
+const (
+	// headerTimeout is the time that a caller may take to send its headers.
+	headerTimeout = 5 * clock.Second
+	// idleTimeout is how long an unused connection stays open.
+	idleTimeout = 2 * clock.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 32 << 10
+)
+
+// listenOn opens a socket, with TLS where the files ask for it.
+func listenOn(ctx context.Context, address string, files reloader.Files) (socket net.Listener, err error) {
+	var keys *reloader.Reloader
+	if files.Enabled() {
+		if keys, err = reloader.New(files); err != nil {
+			return nil, err
+		}
+	}
+	var config net.ListenConfig
+	socket, err = config.Listen(ctx, "tcp", address)
+	if err != nil || keys == nil {
+		return socket, err
+	}
+	return tls.NewListener(socket, keys.Server()), nil
+}
 
 // serve opens the listening socket at the start and waits for the requests in
 // progress at the stop.
 func serve(l fx.Lifecycle, s settings, router *mux.Router) {
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout.Duration()}
+	server := &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout.Duration(),
+		IdleTimeout:       idleTimeout.Duration(),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          klog.NewStandardLogger("INFO"),
+	}
 	l.Append(fx.Hook{
 		OnStart: func(ctx context.Context) (err error) {
-			var config net.ListenConfig
-			socket, err := config.Listen(ctx, "tcp", s.Listen)
+			socket, err := listenOn(ctx, s.Listen, s.TLS)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/daemon/duty_observation.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/fx"
+
+	"yuccaspread/common/tracer"
+)
+
+// observationDuty collects metrics and traces. Duties ask fx for the
+// prometheus.Registerer; spans go through the global tracer.
+func observationDuty() fx.Option {
+	return fx.Module("observation",
+		fx.Provide(
+			newRegistry,
+			func(r *prometheus.Registry) prometheus.Registerer { return r },
+			fx.Annotate(metricsPage, fx.ResultTags(`group:"pages"`)),
+		),
+		fx.Invoke(startTraces),
+	)
+}
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+func metricsPage(registry *prometheus.Registry) pageSet {
+	return func(router *mux.Router) {
+		router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	}
+}
+
+func startTraces(l fx.Lifecycle, s settings) {
+	var stop func(context.Context) error
+	l.Append(fx.Hook{
+		OnStart: func(ctx context.Context) (err error) {
+			stop, err = tracer.Start(ctx, s.Trace, "yuccaspread", s.Name, os.Stdout)
+			return err
+		},
+		OnStop: func(ctx context.Context) error { return stop(ctx) },
+	})
+}
--- a/daemon/duty_peer.go
+++ b/daemon/duty_peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
@@ -10,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"yuccaspread/common/reloader"
 	"yuccaspread/daemon/connector"
 )
 
@@ -28,15 +28,25 @@
 // peerDuty serves other daemons and connects to them.
 func peerDuty() fx.Option {
 	return fx.Module("peers",
-		fx.Provide(func(l fx.Lifecycle) *connector.Connector {
-			c := connector.New(nil)
-			l.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
-			return c
-		}),
+		fx.Provide(newConnector),
 		fx.Invoke(servePeers),
 	)
 }
 
+// newConnector uses TLS towards other daemons where the settings ask for it.
+func newConnector(l fx.Lifecycle, s settings) (c *connector.Connector, err error) {
+	c = connector.New(nil)
+	if s.PeerTLS.Enabled() {
+		keys, err := reloader.New(s.PeerTLS)
+		if err != nil {
+			return nil, err
+		}
+		c = connector.New(keys.Client)
+	}
+	l.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
+	return c, nil
+}
+
 // servePeers listens for other daemons until the stop.
 func servePeers(n peerNeeds) (err error) {
 	mux := drpcmux.New()
@@ -48,8 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Lifecycle.Append(fx.Hook{
 		OnStart: func(start context.Context) (err error) {
-			var config net.ListenConfig
-			socket, err := config.Listen(start, "tcp", n.Settings.PeerListen)
+			socket, err := listenOn(start, n.Settings.PeerListen, n.Settings.PeerTLS)
 			if err != nil {
 				return err
 			}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -1,5 +1,10 @@
 package main
 
+import (
+	"yuccaspread/common/reloader"
+	"yuccaspread/common/tracer"
+)
+
 // settings is the file of the program.
 type settings struct {
 	// Name is the name of the VM, unique among all daemons.
@@ -17,4 +22,9 @@
 	BootstrapTokenSHA256 string `toml:"bootstrap_token_sha256" validate:"omitempty,sha256"`
 	// Verbose adds debug lines to the log.
 	Verbose bool `toml:"verbose"`
+	// TLS holds the key files towards callers and operators.
+	TLS reloader.Files `toml:"tls"`
+	// PeerTLS holds the key files towards other daemons.
+	PeerTLS reloader.Files  `toml:"peer_tls"`
+	Trace   tracer.Settings `toml:"trace"`
 }
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -11,6 +11,7 @@
 func duties(s settings) fx.Option {
 	return fx.Options(
 		fx.Supply(s),
+		observationDuty(),
 		platformDuty(),
 		peerDuty(),
 		membershipDuty(),
