--- /dev/null
+++ b/daemon/gossiper/encoder.go
@@ -0,0 +1,38 @@
+package gossiper
+
+import "yuccaspread/common/wire"
+
+// encode returns the packet in the form that goes over the wire.
+func encode(p Packet) *wire.GossipPacket {
+	out := &wire.GossipPacket{Sender: encodeMember(p.Sender), Whole: p.Whole, Digest: p.Digest}
+	for _, m := range p.Updates {
+		out.Updates = append(out.Updates, encodeMember(m))
+	}
+	return out
+}
+
+func encodeMember(m Member) *wire.GossipMember {
+	return &wire.GossipMember{
+		Name: m.Name, Region: m.Region, FailureDomain: m.FailureDomain,
+		Listen: m.Listen, PeerListen: m.PeerListen,
+		Incarnation: m.Incarnation, State: wire.GossipState(m.State),
+		Beat: m.Beat, Load: float32(m.Load), Revision: m.Revision,
+	}
+}
+
+func decode(p *wire.GossipPacket) Packet {
+	out := Packet{Sender: decodeMember(p.GetSender()), Whole: p.GetWhole(), Digest: p.GetDigest()}
+	for _, m := range p.GetUpdates() {
+		out.Updates = append(out.Updates, decodeMember(m))
+	}
+	return out
+}
+
+func decodeMember(m *wire.GossipMember) Member {
+	return Member{
+		Name: m.GetName(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain(),
+		Listen: m.GetListen(), PeerListen: m.GetPeerListen(),
+		Incarnation: m.GetIncarnation(), State: State(m.GetState()),
+		Beat: m.GetBeat(), Load: float64(m.GetLoad()), Revision: m.GetRevision(),
+	}
+}
--- a/daemon/gossiper/member.go
+++ b/daemon/gossiper/member.go
@@ -28,9 +28,12 @@
 	State       State
 	// Load is the share of the daemon's capacity in use, in [0, 1].
 	Load float64
+	// Beat grows with each change of Load or Revision at one incarnation.
+	Beat int64
 	// Revision is the configuration in force there.
 	Revision int64
-	// Heard is when this daemon last heard news of the member.
+	// Heard is when this daemon last heard news of the member; it is a reading
+	// of this daemon's clock and never sent.
 	Heard clock.Millis
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -18,6 +18,9 @@
 	FailureDomain string `toml:"failure_domain" validate:"required"`
 	// Platform is the base URL of the platform's services.
 	Platform string `toml:"platform" validate:"required,url"`
+	// Seeds are the peer addresses of daemons to join besides those that the
+	// platform lists; they may be down.
+	Seeds []string `toml:"seeds" validate:"dive,hostname_port"`
 	// BootstrapTokenSHA256 admits a first operator while there is none.
 	BootstrapTokenSHA256 string `toml:"bootstrap_token_sha256" validate:"omitempty,sha256"`
 	// Verbose adds debug lines to the log.
