Scheduler of a shard: first version

Cause: the reservation needs a decision package to talk to. Change: State.Update with queue, learned speeds and lengths, prefix index, limits, ejection, version shares, announcement, expiry and the region's lowest tier. New message Confirm: the ingress says that it starts to send; a grant without Confirm or FirstToken ends at Grant.Expires and its slot is reused.

--- /dev/null
+++ b/daemon/scheduler/asks.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/queuer"
+)
+
+func (s *State) takeAsk(m Ask) {
+	if s.asks[m.ID] != nil {
+		return
+	}
+	if s.queue.Size == 0 {
+		s.queue.Size = inventory.DefaultQueuePerShard
+	}
+	a := s.newAsk(m)
+	reach := s.reach(a)
+	if reach.usable == 0 {
+		s.refuse(a, ReasonNoUpstream)
+		return
+	}
+	if !reach.intime {
+		s.refuse(a, ReasonDeadline)
+		return
+	}
+	a.entry = queuer.Entry[*ask]{
+		Tier: m.Tier, Organisation: m.Organisation, Deadline: m.Deadline,
+		LatestStart: m.Deadline - clock.Millis(reach.shortestMS),
+		Cost:        max(reach.shortestMS, 1), Value: a,
+	}
+	s.remember(a)
+	if evicted := s.queue.Push(&a.entry); evicted != nil {
+		s.pressed(evicted.Tier)
+		s.refuse(evicted.Value, ReasonFull)
+	}
+}
+
+func (s *State) newAsk(m Ask) *ask {
+	m.Tier = max(m.Tier, 0)
+	a := &ask{Ask: m, arrived: s.now}
+	q := s.OutputQuantile
+	if q <= 0 || q >= 1 {
+		q = defaultQuantile
+	}
+	a.output = s.lengths.Quantile(m.Route, m.Organisation, q)
+	if m.MaxTokens > 0 {
+		a.output = min(a.output, m.MaxTokens)
+	}
+	return a
+}
+
+func (s *State) remember(a *ask) {
+	if s.asks == nil {
+		s.asks = map[AskID]*ask{}
+	}
+	s.asks[a.ID] = a
+}
+
+func (s *State) takeCancel(m Cancel) {
+	a := s.asks[m.ID]
+	if a == nil {
+		return
+	}
+	if a.upstream != nil {
+		s.release(a)
+		return
+	}
+	s.queue.Remove(&a.entry)
+	delete(s.asks, m.ID)
+}
+
+// refuse ends an ask that is not in the queue any more.
+func (s *State) refuse(a *ask, reason Reason) {
+	delete(s.asks, a.ID)
+	s.emit(Refuse{ID: a.ID, Reason: reason, RetryAfter: s.pace.drain(s.queue.Len())})
+}
+
+// shedOverdue refuses what waited too long to meet its deadline.
+func (s *State) shedOverdue() {
+	for {
+		e, found := s.queue.Overdue(s.now)
+		if !found {
+			return
+		}
+		s.shed(e)
+	}
+}
+
+func (s *State) shed(e *queuer.Entry[*ask]) {
+	s.queue.Remove(e)
+	s.pressed(e.Tier)
+	s.refuse(e.Value, ReasonDeadline)
+}
+
+func (s *State) takeDaemonGone(m DaemonGone) {
+	var gone []*ask
+	for id, a := range s.asks {
+		if id.Daemon == m.Daemon {
+			gone = append(gone, a)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *ask) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
+	for _, a := range gone {
+		s.takeCancel(Cancel{ID: a.ID})
+	}
+}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -40,6 +40,12 @@
 	ID AskID `json:"id"`
 }
 
+// Confirm reports that the ingress starts to send a granted request. A grant
+// that is neither confirmed nor ended before it expires goes to another ask.
+type Confirm struct {
+	ID AskID `json:"id"`
+}
+
 // FirstToken reports the first token of a granted request.
 type FirstToken struct {
 	ID           AskID `json:"id"`
@@ -124,6 +130,7 @@
 
 func (Ask) message()         {}
 func (Cancel) message()      {}
+func (Confirm) message()     {}
 func (FirstToken) message()  {}
 func (End) message()         {}
 func (Announce) message()    {}
@@ -145,7 +152,7 @@
 	ID       AskID  `json:"id"`
 	Upstream string `json:"upstream"`
 	Version  string `json:"version"`
-	// Expires is when the grant ends unless the request was sent.
+	// Expires is when the grant ends unless a Confirm came before.
 	Expires clock.Millis `json:"expires_ms"`
 }
 
--- /dev/null
+++ b/daemon/scheduler/place.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/hasher"
+	"yuccaspread/daemon/placer"
+)
+
+// maxSkips bounds the asks that are passed over in one round because nothing
+// that they may use is free.
+const maxSkips = 32
+
+// reach is what the upstreams could do for an ask.
+type reach struct {
+	// usable has the bits of the upstreams that may serve it at all.
+	usable uint64
+	// intime tells whether one of them would meet the deadline if it were
+	// free now, and shortestMS is the least time that it takes.
+	intime     bool
+	shortestMS float64
+	// best is a free upstream that meets the deadline, or nil.
+	best     *upstream
+	bestWork placer.Work
+	expected placer.Expected
+}
+
+// reach looks at all upstreams for an ask.
+func (s *State) reach(a *ask) reach { return s.reachBeside(a, 0) }
+
+// reachBeside chooses none of the upstreams that are held for other asks.
+func (s *State) reachBeside(a *ask, held uint64) (r reach) {
+	r.shortestMS = math.Inf(1)
+	left := float64(a.Deadline - s.now)
+	owed := s.shares.owed(s, a)
+	depths := s.index.Match(a.PrefixHashes, s.places())
+	bestMS := math.Inf(1)
+	for _, u := range s.upstreams {
+		if !s.usable(u, a) {
+			continue
+		}
+		r.usable |= u.mask()
+		work := placer.Work{Prompt: a.PromptTokens, Output: a.output}
+		work.Cached = min(int(depths[u.place])*hasher.BlockTokens, a.PromptTokens)
+		load := u.load(s.now)
+		e := placer.Expect(u.speed, load, work)
+		lone := e.EndMS - load.PrefillMS
+		r.shortestMS = min(r.shortestMS, lone)
+		r.intime = r.intime || lone <= left
+		if held&u.mask() != 0 || e.EndMS > left || !s.free(u, a, load, e) {
+			continue
+		}
+		score := e.EndMS
+		if owed != "" && u.version == owed {
+			score -= math.MaxInt32
+		}
+		if score < bestMS {
+			bestMS = score
+			r.best, r.bestWork, r.expected = u, work, e
+		}
+	}
+	return r
+}
+
+func (s *State) places() (mask uint64) {
+	for _, u := range s.upstreams {
+		mask |= u.mask()
+	}
+	return mask
+}
+
+// usable tells whether an upstream may serve the ask once it has room.
+func (s *State) usable(u *upstream, a *ask) bool {
+	return u.member() && !slices.Contains(a.Excluded, u.Name) && s.shares.permits(u.version, a)
+}
+
+// free tells whether an upstream has room for the ask now.
+func (s *State) free(u *upstream, a *ask, load placer.Load, e placer.Expected) bool {
+	if !u.open(s.now) {
+		return false
+	}
+	if u.straggler.Ejected() {
+		return a.Idempotent && u.straggler.Probe(s.now)
+	}
+	return load.Running < placer.Sequences(&u.speed.Gap, s.tokenGap, u.Slots) &&
+		placer.PromptFits(load, e, s.firstToken) &&
+		u.tokenBudget.fits(u.tokens, a.PromptTokens+a.output) &&
+		s.shares.room(u.version)
+}
+
+// dispatch grants slots to waiting asks in their order. What an ask could use
+// but has to wait for is held against lower tiers, never against its own.
+func (s *State) dispatch() {
+	defer s.queue.Restore()
+	var held, heldHere uint64
+	tier := 0
+	for skips := 0; skips < maxSkips; {
+		e, found := s.queue.Head()
+		if !found || e.Tier > s.region.floor(s.now) {
+			return
+		}
+		if e.Tier > tier {
+			held, heldHere, tier = held|heldHere, 0, e.Tier
+		}
+		if !s.anyFree(held) {
+			return
+		}
+		r := s.reachBeside(e.Value, held)
+		switch {
+		case r.best != nil:
+			s.grant(e.Value, r)
+		case r.usable != 0 && !r.intime:
+			s.shed(e)
+		default:
+			heldHere |= r.usable
+			s.queue.Skip(e)
+			skips++
+		}
+	}
+}
+
+// anyFree tells whether an upstream outside of the mask has a slot.
+func (s *State) anyFree(held uint64) bool {
+	for _, u := range s.upstreams {
+		if held&u.mask() != 0 || !u.open(s.now) {
+			continue
+		}
+		limit := placer.Sequences(&u.speed.Gap, s.tokenGap, u.Slots)
+		if u.running+u.foreign.count < limit || u.straggler.Probe(s.now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) grant(a *ask, r reach) {
+	u := r.best
+	s.queue.Take(&a.entry)
+	a.cached = r.bestWork.Cached
+	a.prefillMS = r.expected.PrefillMS
+	a.probe = u.straggler.Ejected()
+	if a.probe {
+		u.straggler.Probed(s.now)
+	}
+	s.occupy(a, u)
+	s.shares.count(a)
+	s.pace.note(s.now)
+	s.index.Store(a.PrefixHashes, u.place)
+	s.unconfirmed = append(s.unconfirmed, a)
+	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.granted + s.grantLifetime()})
+}
+
+// occupy counts an ask on an upstream.
+func (s *State) occupy(a *ask, u *upstream) {
+	a.upstream = u
+	a.version = u.version
+	a.granted = s.now
+	if u.reading == 0 {
+		u.readingSince = s.now
+	}
+	u.count(s.now, 1)
+	u.tokens += a.PromptTokens + a.output
+	u.reading++
+	u.readingMS += a.prefillMS
+}
+
+func (s *State) grantLifetime() clock.Millis {
+	if s.GrantLifetime > 0 {
+		return s.GrantLifetime
+	}
+	return defaultGrantLifetime
+}
--- /dev/null
+++ b/daemon/scheduler/upstream.go
@@ -0,0 +1,173 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/detector"
+	"yuccaspread/daemon/estimator"
+	"yuccaspread/daemon/placer"
+)
+
+// upstream is one upstream of the shard.
+type upstream struct {
+	inventory.Upstream
+	// place is its bit in masks, in [0, placer.MaxPlaces).
+	place  int
+	listed bool
+	// version, draining and foreign come from load reports.
+	version  string
+	draining bool
+	foreign  foreign
+	down     bool
+	// pausedUntil is when work may go on after its connections broke.
+	pausedUntil clock.Millis
+	pause       clock.Millis
+
+	speed      *estimator.Speed
+	generation *estimator.Speed
+	straggler  detector.Straggler
+
+	running int
+	// tokens is the sum of prompts and expected outputs of what runs.
+	tokens      int
+	tokenBudget tokenBudget
+	// reading is the number of prompts without a first token, and readingMS
+	// what they were expected to take together.
+	reading   int
+	readingMS float64
+	// readingSince is when the prompt that is being read was begun.
+	readingSince clock.Millis
+	watched      clock.Millis
+
+	// runningSum is the integral of running over time until runningAt.
+	runningSum float64
+	runningAt  clock.Millis
+}
+
+// mask returns the upstream's bit.
+func (u *upstream) mask() uint64 { return 1 << u.place }
+
+// member tells whether the upstream belongs to those that get new work.
+func (u *upstream) member() bool {
+	return u.listed && !u.Leaving && !u.draining
+}
+
+// open tells whether the upstream may get work now.
+func (u *upstream) open(now clock.Millis) bool {
+	return u.member() && !u.down && now >= u.pausedUntil
+}
+
+// load returns the use of the upstream at now.
+func (u *upstream) load(now clock.Millis) placer.Load {
+	left := 0.0
+	if u.reading > 0 {
+		first := u.readingMS / float64(u.reading)
+		left = u.readingMS - min(float64(now-u.readingSince), first)
+	}
+	return placer.Load{Running: u.running + u.foreign.count, PrefillMS: left}
+}
+
+// count changes the number of running requests.
+func (u *upstream) count(now clock.Millis, change int) {
+	u.runningSum = u.sum(now)
+	u.runningAt = now
+	u.running += change
+	u.foreign.note(now, u.running)
+}
+
+func (u *upstream) sum(now clock.Millis) float64 {
+	return u.runningSum + float64(u.running+u.foreign.count)*float64(now-u.runningAt)
+}
+
+func (s *State) upstream(name string) *upstream {
+	at, found := slices.BinarySearchFunc(s.upstreams, name, func(u *upstream, name string) int {
+		return cmp.Compare(u.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return s.upstreams[at]
+}
+
+func (s *State) takeUpstreams(m Upstreams) {
+	for _, u := range s.upstreams {
+		u.listed = false
+	}
+	for _, entry := range m.List {
+		u := s.upstream(entry.Name)
+		if u == nil {
+			u = s.addUpstream(entry)
+		}
+		if u == nil {
+			continue
+		}
+		u.Upstream = entry
+		u.Slots = max(entry.Slots, 1)
+		u.listed = true
+	}
+	s.dropUpstreams()
+}
+
+// addUpstream returns nil where all places are taken.
+func (s *State) addUpstream(entry inventory.Upstream) *upstream {
+	used := uint64(0)
+	for _, u := range s.upstreams {
+		used |= u.mask()
+	}
+	for place := range placer.MaxPlaces {
+		if used&(1<<place) != 0 {
+			continue
+		}
+		u := &upstream{Upstream: entry, place: place, runningAt: s.now}
+		u.speed = s.speeds.Upstream(entry.Name, entry.Generation)
+		u.generation = s.speeds.Generation(entry.Generation)
+		s.upstreams = append(s.upstreams, u)
+		slices.SortFunc(s.upstreams, func(a, b *upstream) int { return cmp.Compare(a.Name, b.Name) })
+		return u
+	}
+	return nil
+}
+
+// dropUpstreams forgets what is neither listed nor in use.
+func (s *State) dropUpstreams() {
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool {
+		if u.listed || u.running > 0 {
+			return false
+		}
+		s.index.Forget(u.place)
+		s.speeds.Forget(u.Name)
+		return true
+	})
+}
+
+func (s *State) takeLoad(m Load) {
+	u := s.upstream(m.Upstream)
+	if u == nil {
+		return
+	}
+	u.version = m.Version
+	u.draining = m.Leaving
+	u.runningSum = u.sum(s.now)
+	u.runningAt = s.now
+	u.foreign.take(m)
+	u.tokenBudget.take(m, u.tokens)
+}
+
+func (s *State) takeHealth(m Health) {
+	if u := s.upstream(m.Upstream); u != nil {
+		u.down = !m.Up
+		u.pausedUntil = 0
+	}
+}
+
+func (s *State) takeCacheChange(m CacheChange) {
+	u := s.upstream(m.Upstream)
+	if u == nil {
+		return
+	}
+	s.index.Store(m.Stored, u.place)
+	s.index.Remove(m.Removed, u.place)
+}
