--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	go test -race -count=1 $(PACKAGES)
 
 lint:
-	for module in $(MODULES); do (cd $$module && golangci-lint run ./...) || exit 1; done
+	for module in $(MODULES); do (cd $$module && golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 format:
 	for module in $(MODULES); do (cd $$module && golangci-lint fmt ./...) || exit 1; done
--- a/daemon/classifier/classifier.go
+++ b/daemon/classifier/classifier.go
@@ -68,12 +68,8 @@
 	return all.String()
 }
 
-// Classify returns the request or a *refuser.Refusal.
-func (c *Classifier) Classify(head Head, body []byte) (req *Request, err error) {
-	organisation, err := c.organisation(head.Header)
-	if err != nil {
-		return nil, err
-	}
+// Classify returns the request of the organisation or a *refuser.Refusal.
+func (c *Classifier) Classify(organisation string, head Head, body []byte) (req *Request, err error) {
 	route, content, err := c.route(head, body)
 	if err != nil {
 		return nil, err
@@ -103,7 +99,9 @@
 	return req, nil
 }
 
-func (c *Classifier) organisation(header http.Header) (name string, err error) {
+// Organisation returns whose token the header carries, or a *refuser.Refusal.
+// It needs no body, so that strangers' bodies are never read.
+func (c *Classifier) Organisation(header http.Header) (name string, err error) {
 	token, found := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
 	if !found || token == "" {
 		return "", refuser.New(http.StatusUnauthorized, "no token", "send the organisation's token as a bearer token")
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -7,9 +7,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
@@ -26,22 +32,42 @@
 	Handle(ctx context.Context, w http.ResponseWriter, req *classifier.Request) (err error)
 }
 
+// Bounds of reading bodies.
+const (
+	// bodyTimeout is the time that a caller may take to send a body.
+	bodyTimeout = 30 * clock.Second
+	// defaultHeldBytes bounds the bodies of all requests in progress.
+	defaultHeldBytes = 96 << 20
+	// busyRetry is the pause that a caller is told when that bound is reached.
+	busyRetry = 1 * clock.Second
+)
+
 // Listener is an http.Handler. Its exported fields are set before use.
 type Listener struct {
 	Source  inventory.Source
 	Clock   clock.Clock
 	Handler Handler
+	// HeldBytes bounds the bodies of all requests in progress; 0 stands for
+	// 96 MiB.
+	HeldBytes int64
 
 	classifier atomic.Pointer[classifier.Classifier]
+	// held is the sum of the bodies of the requests in progress; it never
+	// exceeds HeldBytes.
+	held atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := otel.Tracer("yuccaspread").Start(ctx, "ingress", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
 	tracked := &writer{ResponseWriter: w}
-	err := l.serve(tracked, r)
+	err := l.serve(tracked, r.WithContext(ctx))
 	if err == nil {
 		return
 	}
+	span.RecordError(err)
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) && !tracked.begun {
 		refusal.Write(w)
@@ -58,26 +84,69 @@
 	id := uuid.NewString()
 	w.Header().Set(classifier.HeaderRequest, id)
 	current := l.current()
+	organisation, err := current.Organisation(r.Header)
+	if err != nil {
+		return err
+	}
 	limit := l.Source.Current().Limits.WithDefaults().BodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	size := r.ContentLength
+	if size < 0 || size > limit {
+		size = limit
+	}
+	if !l.hold(size) {
+		refusal := refuser.New(http.StatusServiceUnavailable, "busy", "too many bodies are held")
+		refusal.RetryAfter = busyRetry
+		return refusal
+	}
+	defer l.held.Add(-size)
+	body, err := readBody(w, r, limit)
 	if err != nil {
-		return badBody(err)
+		return err
 	}
-	req, err := current.Classify(classifier.Head{
+	req, err := current.Classify(organisation, classifier.Head{
 		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header,
 	}, body)
 	if err != nil {
 		return err
 	}
+	trace.SpanFromContext(r.Context()).SetAttributes(
+		attribute.String("request_id", id), attribute.String("organisation", organisation),
+		attribute.String("route", req.Route), attribute.Int("tier", req.Tier),
+	)
 	return l.Handler.Handle(r.Context(), w, req)
 }
 
-func badBody(err error) error {
+// hold adds size to the bodies in progress unless that exceeds the bound.
+func (l *Listener) hold(size int64) bool {
+	bound := l.HeldBytes
+	if bound <= 0 {
+		bound = defaultHeldBytes
+	}
+	if l.held.Add(size) <= bound {
+		return true
+	}
+	l.held.Add(-size)
+	return false
+}
+
+// readBody reads the whole body within the bounds of size and time.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, err error) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, only lacks the bound of time.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout.Duration()))
+	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return refuser.New(http.StatusRequestEntityTooLarge, "body too large", err.Error())
+		return nil, refuser.New(http.StatusRequestEntityTooLarge, "body too large", err.Error())
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, refuser.New(http.StatusRequestTimeout, "slow body", "the body did not arrive in time")
 	}
-	return refuser.New(http.StatusBadRequest, "torn body", err.Error())
+	return nil, refuser.New(http.StatusBadRequest, "torn body", err.Error())
 }
 
 // current returns the classifier of the configuration in force.
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -19,24 +19,26 @@
 
 func main() {
 	var path string
+	var sets []string
 	var check bool
 	flaggy.SetName("yuccaspread")
 	flaggy.SetDescription("Request scheduler for unlike language model engines and plain services.")
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "TOML file with the settings")
+	flaggy.StringSlice(&sets, "", "set", "setting as section.key=value; may be repeated")
 	flaggy.Bool(&check, "c", "check", "only check the settings")
 	flaggy.Parse()
 	logger.Setup(os.Stderr, "yuccaspread", false)
-	if err := run(path, check); err != nil {
+	if err := run(path, sets, check); err != nil {
 		klog.ErrorS(err, "stopped")
 		klog.Flush()
 		os.Exit(1)
 	}
 }
 
-func run(path string, check bool) (err error) {
+func run(path string, sets []string, check bool) (err error) {
 	var s settings
-	if err = loader.Load(path, "YUCCASPREAD", &s); err != nil || check {
+	if err = loader.Load(loader.Source{Path: path, Prefix: "YUCCASPREAD", Flags: sets}, &s); err != nil || check {
 		return err
 	}
 	logger.Setup(os.Stderr, "yuccaspread", s.Verbose)
--- a/standin/main.go
+++ b/standin/main.go
@@ -38,11 +38,13 @@
 func main() {
 	logger.Setup(os.Stderr, "yuccastandin", false)
 	var path string
+	var sets []string
 	var check bool
 	flaggy.SetName("yuccastandin")
 	flaggy.SetDescription("Stand-ins for the platform, engines and services.")
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "TOML file with the settings")
+	flaggy.StringSlice(&sets, "", "set", "setting as section.key=value; may be repeated")
 	flaggy.Bool(&check, "c", "check", "only check the settings")
 	call := flaggy.NewSubcommand("call")
 	call.Description = "send requests as callers do and print the counts"
@@ -60,16 +62,16 @@
 		}
 		return
 	}
-	if err := run(path, check, call.Used); err != nil {
+	if err := run(path, sets, check, call.Used); err != nil {
 		klog.ErrorS(err, "stopped")
 		klog.Flush()
 		os.Exit(1)
 	}
 }
 
-func run(path string, check, call bool) (err error) {
+func run(path string, sets []string, check, call bool) (err error) {
 	var s settings
-	if err = loader.Load(path, "YUCCASTANDIN", &s); err != nil || check {
+	if err = loader.Load(loader.Source{Path: path, Prefix: "YUCCASTANDIN", Flags: sets}, &s); err != nil || check {
 		return err
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
