--- /dev/null
+++ b/daemon/claimer/counters.go
@@ -0,0 +1,39 @@
+package claimer
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// counters count the claims by their end. The zero value works.
+type counters struct {
+	once   sync.Once
+	claims *prometheus.CounterVec
+}
+
+func (c *counters) claimed(registerer prometheus.Registerer, err error) {
+	c.once.Do(func() {
+		c.claims = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccaspread_claims_total", Help: "Claims by their end: claimed, conflict, expired or doubtful.",
+		}, []string{"end"})
+		if registerer != nil {
+			registerer.MustRegister(c.claims)
+		}
+	})
+	c.claims.WithLabelValues(end(err)).Inc()
+}
+
+func end(err error) string {
+	switch {
+	case err == nil:
+		return "claimed"
+	case errors.Is(err, ErrTaken):
+		return "conflict"
+	case errors.Is(err, ErrNotClaimed):
+		return "expired"
+	default:
+		return "doubtful"
+	}
+}
