Dispatch by states: only 'not sent' permits another attempt

Cause: the thin dispatcher said 'not run' after three sent attempts, cut answers of repeats, and claimed nothing. Change: dispatcher with a state per attempt, repeat check, claim between grant and first byte and a second look right before the send; keeper for running and kept answers; joiner for repeats at other daemons; relayer that checks framing, end mark and attempt tags and resumes streams; convictor for requests that crash upstreams, told to the region before the caller hears of it.

--- /dev/null
+++ b/daemon/dispatcher/counters.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"errors"
+	"strconv"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/refuser"
+)
+
+// counters count what became of requests. The zero value works.
+type counters struct {
+	once     sync.Once
+	requests *prometheus.CounterVec
+	retries  prometheus.Counter
+	prefill  prometheus.Counter
+}
+
+func (c *counters) init(registerer prometheus.Registerer) {
+	c.once.Do(func() {
+		c.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccaspread_requests_total", Help: "Requests by tier and outcome: whole, not_run, unknown or cut.",
+		}, []string{"tier", "outcome"})
+		c.retries = prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_retries_total", Help: "Attempts that failed after they were sent and may be followed by another.",
+		})
+		c.prefill = prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_wasted_prefill_tokens_total", Help: "Prompt tokens of attempts that were sent and brought nothing.",
+		})
+		if registerer != nil {
+			registerer.MustRegister(c.requests, c.retries, c.prefill)
+		}
+	})
+}
+
+func (c *counters) request(registerer prometheus.Registerer, req *classifier.Request, err error) {
+	c.init(registerer)
+	outcome := "whole"
+	var refusal *refuser.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		outcome = string(refusal.Outcome)
+	case err != nil:
+		outcome = "cut"
+	}
+	c.requests.WithLabelValues(strconv.Itoa(req.Tier), outcome).Inc()
+}
+
+func (c *counters) wasted(registerer prometheus.Registerer, req *classifier.Request) {
+	c.init(registerer)
+	c.retries.Inc()
+	c.prefill.Add(float64(req.PromptTokens))
+}
--- /dev/null
+++ b/daemon/dispatcher/store.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"context"
+	"net/url"
+
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/logger"
+	"yuccaspread/daemon/claimer"
+)
+
+// Bounds of the answers that are stored for repeats.
+const (
+	// rowAnswerBytes is the largest body that is stored in the claim's row; a
+	// larger one goes into the object store.
+	rowAnswerBytes = 4 << 10
+	// objectsPerSecond and objectsBurst bound the writes of this daemon to the
+	// object store.
+	objectsPerSecond = 0.5
+	objectsBurst     = 20
+)
+
+//nolint:gochecknoglobals // One object store for the whole process.
+var objectWrites = rate.NewLimiter(objectsPerSecond, objectsBurst)
+
+// store keeps the whole answer with the claim, so that a repeat gets it when
+// this daemon is gone. An answer that can't be kept stays in memory alone.
+func (r *run) store(ctx context.Context) {
+	head, body, whole := r.entry.Answer.Content()
+	if !whole {
+		return
+	}
+	answer := &claimer.Answer{Status: head.Status, Header: head.Header.Clone(), Body: body}
+	if len(body) > rowAnswerBytes {
+		answer.Body = nil
+		answer.Object = objectName(r.req.Organisation, r.claim.Nonce())
+		if !objectWrites.Allow() {
+			return
+		}
+		if err := r.Objects.Put(ctx, answer.Object, body); err != nil {
+			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID)
+			return
+		}
+	}
+	claim := r.claim
+	r.running.Go(func() {
+		if err := claim.Finish(context.WithoutCancel(ctx), answer); err != nil {
+			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID)
+		}
+	})
+}
+
+// objectName returns the name of a stored answer's object.
+func objectName(organisation, nonce string) string {
+	return "answer/" + url.PathEscape(organisation) + "/" + nonce
+}
--- a/daemon/duty_dispatch.go
+++ b/daemon/duty_dispatch.go
@@ -1,21 +1,125 @@
 package main
 
 import (
-	"net/http"
+	"context"
+	"errors"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/platform"
+	"yuccaspread/daemon/claimer"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/convictor"
 	"yuccaspread/daemon/dispatcher"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/joiner"
+	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/listener"
 	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/sender"
 )
 
+// dispatchDuty takes a request from its classification to the end of its
+// answer, at most once where that is asked for.
 func dispatchDuty() fx.Option {
-	return fx.Module("dispatch", fx.Provide(
-		func(r reserver.Reserver, c clock.Clock) listener.Handler {
-			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-			return &dispatcher.Dispatcher{Reserver: r, Clock: c, Client: client}
-		},
-	))
+	return fx.Module("dispatch",
+		fx.Provide(newClaimer, newKeeper, newConvictor, newDispatcher),
+		fx.Invoke(func(l fx.Lifecycle, w *claimer.Writer, r *claimer.Reader) {
+			runDuty(l, w.Run)
+			runDuty(l, r.Run)
+		}),
+		fx.Invoke(drainDispatch),
+	)
+}
+
+type claimerOut struct {
+	fx.Out
+
+	Writer  *claimer.Writer
+	Reader  *claimer.Reader
+	Claimer *claimer.Claimer
+}
+
+func newClaimer(s settings, c clock.Clock, client platform.Client, registerer prometheus.Registerer) claimerOut {
+	writer := &claimer.Writer{Table: client.Table, Clock: c}
+	reader := &claimer.Reader{Table: client.Table}
+	return claimerOut{Writer: writer, Reader: reader, Claimer: &claimer.Claimer{
+		Committer: writer, Reader: reader, Clock: c, Holder: s.Name, Registerer: registerer,
+	}}
+}
+
+type keeperOut struct {
+	fx.Out
+
+	Keeper  *keeper.Keeper
+	Server  *joiner.Server
+	Service peerService `group:"peer_services"`
+}
+
+func newKeeper(c clock.Clock) keeperOut {
+	k := &keeper.Keeper{Clock: c}
+	server := &joiner.Server{Keeper: k}
+	return keeperOut{Keeper: k, Server: server, Service: server.Register}
+}
+
+type convictorOut struct {
+	fx.Out
+
+	Convictor *convictor.Convictor
+	Service   peerService `group:"peer_services"`
+}
+
+func newConvictor(c clock.Clock, source inventory.Source, view gossiper.View, peers *connector.Connector) convictorOut {
+	teller := &convictor.Teller{View: view, Connector: peers, Clock: c}
+	judge := &convictor.Convictor{Clock: c, Source: source, Tell: teller.Tell}
+	server := &convictor.Server{Convictor: judge, Clock: c}
+	return convictorOut{Convictor: judge, Service: server.Register}
+}
+
+type dispatcherNeeds struct {
+	fx.In
+
+	Settings   settings
+	Source     inventory.Source
+	Clock      clock.Clock
+	Reserver   reserver.Reserver
+	Claimer    *claimer.Claimer
+	Keeper     *keeper.Keeper
+	Convictor  *convictor.Convictor
+	View       gossiper.View
+	Connector  *connector.Connector
+	Platform   platform.Client
+	Registerer prometheus.Registerer
+}
+
+func newDispatcher(n dispatcherNeeds) (*dispatcher.Dispatcher, listener.Handler) {
+	d := &dispatcher.Dispatcher{
+		Source: n.Source, Clock: n.Clock, Reserver: n.Reserver, Sender: &sender.Sender{},
+		Claimer: n.Claimer, Keeper: n.Keeper, Convictor: n.Convictor,
+		Joiner:  &joiner.Joiner{View: n.View, Connector: n.Connector},
+		Objects: n.Platform.ObjectStore, Self: n.Settings.Name, Registerer: n.Registerer,
+	}
+	return d, d
+}
+
+// drainDispatch waits at the stop for the requests that run on without their
+// callers and for the daemons that joined one here.
+func drainDispatch(l fx.Lifecycle, d *dispatcher.Dispatcher, server *joiner.Server) {
+	l.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		err := d.Wait(ctx)
+		joined := make(chan struct{})
+		go func() {
+			defer close(joined)
+			server.Wait()
+		}()
+		select {
+		case <-joined:
+		case <-ctx.Done():
+			err = errors.Join(err, ctx.Err())
+		}
+		return err
+	}})
 }
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -114,9 +114,9 @@
 		c.reported = m
 		c.tellReport(now)
 	case Leave:
-		return c.tellAll(now, Leaving)
+		c.turn(now, Leaving)
 	case Stop:
-		return c.tellAll(now, Dead)
+		return c.stop(now)
 	}
 	return nil
 }
