Reservation over drpc: shards, granter and remote reserver

Cause: the daemons handed out slots each by itself, without order between them. Change: sharder (rendezvous), granter (one goroutine a shard behind one stream a daemon), reserver.Remote with local share as fallback.

--- /dev/null
+++ b/daemon/granter/path_test.go
@@ -0,0 +1,373 @@
+package granter_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/granter"
+	"yuccaspread/daemon/refuser"
+	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+	"yuccaspread/daemon/sharder"
+)
+
+const (
+	region = "wien-a"
+	pool   = "questions"
+)
+
+// fifo is a Decider that grants the slots of its upstreams in the order of
+// the asks.
+type fifo struct {
+	mu      sync.Mutex
+	free    map[string]int
+	slots   map[string]int
+	running map[scheduler.AskID]string
+	waiting []scheduler.Ask
+	// refuse, where set, answers asks of these routes.
+	refuse map[string]scheduler.Reason
+}
+
+func newFIFO() *fifo {
+	return &fifo{free: map[string]int{}, slots: map[string]int{}, running: map[scheduler.AskID]string{}, refuse: map[string]scheduler.Reason{}}
+}
+
+func (f *fifo) Update(now clock.Millis, m scheduler.Message) (effects []scheduler.Effect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch m := m.(type) {
+	case scheduler.Upstreams:
+		for _, u := range m.List {
+			f.free[u.Name] += u.Slots - f.slots[u.Name]
+			f.slots[u.Name] = u.Slots
+		}
+	case scheduler.Ask:
+		if reason, found := f.refuse[m.Route]; found {
+			return []scheduler.Effect{scheduler.Refuse{ID: m.ID, Reason: reason, RetryAfter: clock.Second}}
+		}
+		f.waiting = append(f.waiting, m)
+	case scheduler.Cancel:
+		f.end(m.ID)
+	case scheduler.End:
+		f.end(m.ID)
+	case scheduler.Announce:
+		f.running[m.Ask.ID] = m.Upstream
+		f.free[m.Upstream]--
+	case scheduler.DaemonGone:
+		for id := range f.running {
+			if id.Daemon == m.Daemon {
+				f.end(id)
+			}
+		}
+		f.waiting = slices.DeleteFunc(f.waiting, func(a scheduler.Ask) bool { return a.ID.Daemon == m.Daemon })
+	}
+	return f.grant(now)
+}
+
+func (f *fifo) end(id scheduler.AskID) {
+	f.waiting = slices.DeleteFunc(f.waiting, func(a scheduler.Ask) bool { return a.ID == id })
+	if upstream, found := f.running[id]; found {
+		delete(f.running, id)
+		f.free[upstream]++
+	}
+}
+
+func (f *fifo) grant(now clock.Millis) (effects []scheduler.Effect) {
+	for len(f.waiting) > 0 {
+		upstream := ""
+		for name, free := range f.free {
+			if free > 0 {
+				upstream = name
+			}
+		}
+		if upstream == "" {
+			return effects
+		}
+		ask := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		f.free[upstream]--
+		f.running[ask.ID] = upstream
+		effects = append(effects, scheduler.Grant{ID: ask.ID, Upstream: upstream, Version: "v1", Expires: now + clock.Second})
+	}
+	return effects
+}
+
+func (f *fifo) counts() (running, waiting int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.running), len(f.waiting)
+}
+
+// cluster is a set of daemons that see each other through one view.
+type cluster struct {
+	t       *testing.T
+	source  *source
+	mu      sync.Mutex
+	members []gossiper.Member
+	nodes   map[string]*node
+}
+
+type source struct{ config *inventory.Config }
+
+func (s *source) Current() *inventory.Config { return s.config }
+
+type view struct {
+	cluster *cluster
+	self    string
+}
+
+func (v view) Self() gossiper.Member {
+	for _, m := range v.Members() {
+		if m.Name == v.self {
+			return m
+		}
+	}
+	return gossiper.Member{Name: v.self, Region: region}
+}
+
+func (v view) Members() []gossiper.Member {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	return slices.Clone(v.cluster.members)
+}
+
+// node is one daemon: a granter behind real drpc and a reserver before it.
+type node struct {
+	granter  *granter.Granter
+	remote   *reserver.Remote
+	deciders []*fifo
+	mu       sync.Mutex
+	kill     context.CancelFunc
+	conns    []net.Conn
+}
+
+func (n *node) counts() (running, waiting int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, f := range n.deciders {
+		r, w := f.counts()
+		running, waiting = running+r, waiting+w
+	}
+	return running, waiting
+}
+
+// decider returns the newest decider of the node, nil for none.
+func (n *node) decider() *fifo {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.deciders) == 0 {
+		return nil
+	}
+	return n.deciders[len(n.deciders)-1]
+}
+
+func newCluster(t *testing.T, slots int) *cluster {
+	config := inventory.Config{
+		Revision: 1,
+		Regions:  []inventory.Region{{Name: region}},
+		Pools:    []inventory.Pool{{Name: pool, Kind: inventory.PoolModel}},
+		Upstreams: []inventory.Upstream{
+			{Name: "u1", Address: "127.0.0.1:1", Pool: pool, Region: region, Slots: slots},
+		},
+		Tiers: []inventory.Tier{{Name: "t0"}},
+	}
+	return &cluster{t: t, source: &source{config: &config}, nodes: map[string]*node{}}
+}
+
+// start adds a daemon of the region; passes is its dialer, nil for plain TCP.
+func (c *cluster) start(name, in string) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	v := view{cluster: c, self: name}
+	assigner := &sharder.Assigner{Source: c.source, View: v}
+	n := &node{kill: cancel}
+	n.granter = &granter.Granter{
+		Source: c.source, View: v, Assigner: assigner, Clock: clock.System{},
+		NewDecider: func() granter.Decider {
+			f := newFIFO()
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.deciders = append(n.deciders, f)
+			return f
+		},
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterReservation(mux, &granter.Server{Granter: n.granter}); err != nil {
+		c.t.Fatal(err)
+	}
+	n.remote = &reserver.Remote{
+		Source: c.source, View: v, Assigner: assigner, Clock: clock.System{},
+		Dial:  n.dial,
+		Local: &reserver.Local{Source: c.source, Clock: clock.System{}, Daemons: func() int { return assigner.Current().Daemons(region) }},
+	}
+	c.mu.Lock()
+	c.members = append(c.members, gossiper.Member{Name: name, Region: in, PeerListen: socket.Addr().String()})
+	slices.SortFunc(c.members, func(a, b gossiper.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	c.nodes[name] = n
+	c.mu.Unlock()
+	go n.granter.Run(ctx)
+	go n.remote.Run(ctx)
+	go func() { _ = drpcserver.New(mux).Serve(ctx, socket) }()
+	return n
+}
+
+func (n *node) dial(ctx context.Context, to gossiper.Member) (reserver.Link, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", to.PeerListen)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, conn)
+	n.mu.Unlock()
+	var d drpc.Conn = drpcconn.New(conn)
+	return reserver.OnConn(ctx, d)
+}
+
+// remove takes a daemon out of everyone's view.
+func (c *cluster) remove(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = slices.DeleteFunc(c.members, func(m gossiper.Member) bool { return m.Name == name })
+}
+
+// scheduler returns the daemon that carries the only shard.
+func (c *cluster) scheduler() *node {
+	a := sharder.Assigner{Source: c.source, View: view{cluster: c}}
+	m, found := a.Current().Scheduler(region + "/" + pool + "/0")
+	if !found {
+		c.t.Fatal("no scheduler")
+	}
+	return c.nodes[m.Name]
+}
+
+func (c *cluster) other(than *node) *node {
+	for _, n := range c.nodes {
+		if n != than {
+			return n
+		}
+	}
+	return nil
+}
+
+func request(span clock.Millis) *classifier.Request {
+	now := clock.System{}.Now()
+	return &classifier.Request{ID: "r", Organisation: "o", Route: "question", Pool: pool, Arrived: now, Deadline: now + span, Idempotent: true}
+}
+
+// eventually waits for a condition; it fails only when nothing comes of it.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 3000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func mustReserve(t *testing.T, n *node) reserver.Slot {
+	t.Helper()
+	slot, err := n.remote.Reserve(context.Background(), request(clock.Minute), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slot
+}
+
+// reserving runs a Reserve and returns where its slot will come.
+func reserving(t *testing.T, n *node) <-chan reserver.Slot {
+	slots := make(chan reserver.Slot, 1)
+	go func() {
+		slot, err := n.remote.Reserve(context.Background(), request(clock.Minute), nil)
+		if err != nil {
+			t.Error(err)
+			close(slots)
+			return
+		}
+		slots <- slot
+	}()
+	return slots
+}
+
+func TestASlotIsGrantedAndGivenBackOnce(t *testing.T) {
+	c := newCluster(t, 1)
+	c.start("d1", region)
+	c.start("d2", region)
+	sched := c.scheduler()
+	ingress := c.other(sched)
+	slot := mustReserve(t, ingress)
+	if slot.Upstream().Name != "u1" {
+		t.Fatalf("slot on %q", slot.Upstream().Name)
+	}
+	next := reserving(t, ingress)
+	eventually(t, "the second request waits", func() bool { r, w := sched.counts(); return r == 1 && w == 1 })
+	slot.FirstToken(0)
+	slot.End(reserver.Usage{Outcome: reserver.Whole, OutputTokens: 3})
+	slot.End(reserver.Usage{Outcome: reserver.Whole, OutputTokens: 3})
+	second := <-next
+	third := reserving(t, ingress)
+	eventually(t, "the third request waits", func() bool { r, w := sched.counts(); return r == 1 && w == 1 })
+	second.End(reserver.Usage{})
+	(<-third).End(reserver.Usage{})
+	eventually(t, "all slots are free", func() bool { r, w := sched.counts(); return r == 0 && w == 0 })
+}
+
+func TestACallerThatLeavesTakesItsAskBack(t *testing.T) {
+	c := newCluster(t, 1)
+	c.start("d1", region)
+	c.start("d2", region)
+	sched := c.scheduler()
+	ingress := c.other(sched)
+	slot := mustReserve(t, ingress)
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := ingress.remote.Reserve(ctx, request(clock.Minute), nil)
+		done <- err
+	}()
+	eventually(t, "the ask waits", func() bool { _, w := sched.counts(); return w == 1 })
+	leave()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("the caller that left got %v", err)
+	}
+	eventually(t, "the ask is gone", func() bool { _, w := sched.counts(); return w == 0 })
+	slot.End(reserver.Usage{})
+}
+
+func TestARefusalIsTheSchedulersWord(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.start("d1", region)
+	mustReserve(t, n).End(reserver.Usage{})
+	n.decider().refuse["question"] = scheduler.ReasonFull
+	_, err := n.remote.Reserve(context.Background(), request(clock.Minute), nil)
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) || refusal.Title != "queue full" || refusal.RetryAfter != clock.Second || refusal.Outcome != refuser.NotRun {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/daemon/granter/translator.go
@@ -0,0 +1,77 @@
+package granter
+
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+)
+
+func toAsk(daemon string, now clock.Millis, a *wire.Ask) scheduler.Ask {
+	var hashes []uint64
+	for _, h := range a.GetPrefixHashes() {
+		hashes = append(hashes, uint64(h))
+	}
+	return scheduler.Ask{
+		ID:           scheduler.AskID{Daemon: daemon, Number: a.GetAskId()},
+		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: int(a.GetTier()),
+		Deadline: now + clock.Millis(a.GetRemainingMs()), PromptTokens: int(a.GetPromptTokens()),
+		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
+		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(),
+	}
+}
+
+func toAnnounce(daemon string, now clock.Millis, a *wire.Announce) scheduler.Announce {
+	return scheduler.Announce{Ask: toAsk(daemon, now, a.GetAsk()), Upstream: a.GetUpstream(), FirstToken: a.GetFirstTokenSeen()}
+}
+
+func toFirstToken(daemon string, f *wire.FirstToken) input {
+	return input{
+		message: scheduler.FirstToken{ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: int(f.GetCachedTokens())},
+		span:    clock.Millis(f.GetWaitedMs()),
+	}
+}
+
+func toCancel(daemon string, c *wire.CancelAsk) input {
+	return input{message: scheduler.Cancel{ID: scheduler.AskID{Daemon: daemon, Number: c.GetAskId()}}}
+}
+
+func toEnd(daemon string, e *wire.End) input {
+	return input{
+		message: scheduler.End{
+			ID:    scheduler.AskID{Daemon: daemon, Number: e.GetAskId()},
+			Usage: reserver.Usage{Outcome: toOutcome(e.GetOutcome()), OutputTokens: int(e.GetOutputTokens())},
+		},
+		span: clock.Millis(e.GetDecodeMs()),
+	}
+}
+
+func toOutcome(o wire.Outcome) reserver.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_WHOLE:
+		return reserver.Whole
+	case wire.Outcome_OUTCOME_FAILED:
+		return reserver.Failed
+	case wire.Outcome_OUTCOME_NOT_SENT:
+		return reserver.NotSent
+	case wire.Outcome_OUTCOME_CANCELLED:
+		return reserver.Cancelled
+	case wire.Outcome_OUTCOME_UPSTREAM_DIED, wire.Outcome_OUTCOME_UNSPECIFIED:
+		return reserver.Died
+	default:
+		return reserver.Died
+	}
+}
+
+func fromReason(r scheduler.Reason) wire.RefusalReason {
+	switch r {
+	case scheduler.ReasonFull:
+		return wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL
+	case scheduler.ReasonNoUpstream:
+		return wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM
+	case scheduler.ReasonDeadline:
+		return wire.RefusalReason_REFUSAL_REASON_DEADLINE
+	default:
+		return wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED
+	}
+}
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -21,6 +21,9 @@
 	// Daemons returns the number of daemons that share the upstreams, above 0;
 	// nil stands for 1.
 	Daemons func() int
+	// Held returns the slots of an upstream that this daemon holds by grants of
+	// a scheduler; nil stands for none.
+	Held func(upstream string) int
 
 	mu sync.Mutex
 	// running counts the slots in use by upstream; no entry is 0.
@@ -31,27 +34,53 @@
 
 // Reserve implements Reserver.
 func (l *Local) Reserve(ctx context.Context, req *classifier.Request, excluded []string) (slot Slot, err error) {
-	ctx, cancel := context.WithTimeout(ctx, (req.Deadline - l.Clock.Now()).Duration())
+	within, cancel := context.WithTimeout(ctx, (req.Deadline - l.Clock.Now()).Duration())
 	defer cancel()
+	upstream, err := l.wait(within, l.Source.Current().Upstreams, req, excluded)
+	if err == nil {
+		return &localSlot{local: l, upstream: upstream}, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if within.Err() != nil {
+		err = errDeadline()
+	}
+	return nil, err
+}
+
+// errDeadline refuses a request that waited until its deadline.
+func errDeadline() *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, "deadline", "no slot came free before the deadline")
+}
+
+// errNoUpstream refuses a request that nothing serves.
+func errNoUpstream(pool string) *refuser.Refusal {
+	return refuser.New(http.StatusServiceUnavailable, "no upstream", "no upstream serves pool "+pool)
+}
+
+// wait takes a slot on one of the upstreams. The error is the context's, or a
+// refusal where none of them serves the request.
+func (l *Local) wait(ctx context.Context, list []inventory.Upstream, req *classifier.Request, excluded []string) (upstream inventory.Upstream, err error) {
 	for {
-		upstream, found, wait := l.take(req, excluded)
+		upstream, found, freed := l.take(list, req, excluded)
 		if found {
-			return &localSlot{local: l, upstream: upstream}, nil
+			return upstream, nil
 		}
-		if wait == nil {
-			return nil, refuser.New(http.StatusServiceUnavailable, "no upstream", "no upstream serves pool "+req.Pool)
+		if freed == nil {
+			return upstream, errNoUpstream(req.Pool)
 		}
 		select {
-		case <-wait:
+		case <-freed:
 		case <-ctx.Done():
-			return nil, refuser.New(http.StatusServiceUnavailable, "deadline", "no slot came free before the deadline")
+			return upstream, ctx.Err()
 		}
 	}
 }
 
 // take reserves the least used upstream. Where all are full it returns a
 // channel that is closed when to try again; where none exists it returns nil.
-func (l *Local) take(req *classifier.Request, excluded []string) (best inventory.Upstream, found bool, wait <-chan struct{}) {
+func (l *Local) take(list []inventory.Upstream, req *classifier.Request, excluded []string) (best inventory.Upstream, found bool, wait <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running == nil {
@@ -59,12 +88,12 @@
 		l.freed = make(chan struct{})
 	}
 	exists := false
-	for _, u := range l.Source.Current().Upstreams {
+	for _, u := range list {
 		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) {
 			continue
 		}
 		exists = true
-		if l.running[u.Name] >= l.share(u) {
+		if l.running[u.Name]+l.held(u.Name) >= l.share(u) {
 			continue
 		}
 		if !found || l.running[u.Name]*best.Slots < l.running[best.Name]*u.Slots {
@@ -89,6 +118,13 @@
 	return max(u.Slots/daemons, 1)
 }
 
+func (l *Local) held(upstream string) int {
+	if l.Held == nil {
+		return 0
+	}
+	return l.Held(upstream)
+}
+
 func (l *Local) giveBack(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/daemon/reserver/metrics.go
@@ -0,0 +1,64 @@
+package reserver
+
+import (
+	"errors"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/refuser"
+)
+
+// Labels of the metrics.
+const (
+	labelTier   = "tier"
+	labelFrom   = "from"
+	labelReason = "reason"
+)
+
+type metrics struct {
+	waits    *prometheus.HistogramVec
+	refusals *prometheus.CounterVec
+	paid     *prometheus.CounterVec
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "yuccaspread_reservation_seconds", Help: "Time that a request waited for its slot, by who gave it.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 4, 9),
+		}, []string{labelTier, labelFrom}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccaspread_reservation_refusals_total", Help: "Requests that got no slot.",
+		}, []string{labelTier, labelReason}),
+		paid: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccaspread_cross_region_bytes_total", Help: "Estimated volume of requests sent to other regions.",
+		}, []string{labelTier}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.waits, m.refusals, m.paid)
+	}
+	return m
+}
+
+func (m *metrics) reserved(tier int, local bool, waited clock.Millis) {
+	from := "scheduler"
+	if local {
+		from = "local_share"
+	}
+	m.waits.WithLabelValues(strconv.Itoa(tier), from).Observe(waited.Duration().Seconds())
+}
+
+func (m *metrics) refused(tier int, err error) {
+	reason := "caller_left"
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		reason = refusal.Title
+	}
+	m.refusals.WithLabelValues(strconv.Itoa(tier), reason).Inc()
+}
+
+func (m *metrics) crossRegion(tier int, bytes int64) {
+	m.paid.WithLabelValues(strconv.Itoa(tier)).Add(float64(bytes))
+}
--- /dev/null
+++ b/daemon/reserver/stream.go
@@ -0,0 +1,47 @@
+package reserver
+
+import (
+	"context"
+
+	"storj.io/drpc"
+
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
+)
+
+// Stream returns a Dialer that opens a connection of its own for each link.
+func Stream(c *connector.Connector) Dialer {
+	return func(ctx context.Context, to gossiper.Member) (l Link, err error) {
+		conn, err := c.Stream(ctx, to.PeerListen)
+		if err != nil {
+			return nil, err
+		}
+		return OnConn(ctx, conn)
+	}
+}
+
+// OnConn opens a link on a connection and owns that from now on.
+func OnConn(ctx context.Context, conn drpc.Conn) (l Link, err error) {
+	stream, err := wire.NewDRPCReservationClient(conn).Reserve(ctx)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &streamLink{conn: conn, stream: stream}, nil
+}
+
+// streamLink is a Link over drpc. Its context is that of the stream.
+type streamLink struct {
+	conn   drpc.Conn
+	stream wire.DRPCReservation_ReserveClient
+}
+
+// Send implements Link.
+func (s *streamLink) Send(_ context.Context, up *wire.ReserveUp) error { return s.stream.Send(up) }
+
+// Recv implements Link.
+func (s *streamLink) Recv(context.Context) (*wire.ReserveDown, error) { return s.stream.Recv() }
+
+// Close implements Link.
+func (s *streamLink) Close() { _ = s.conn.Close() }
