Reservation wired: every daemon schedules its shards and asks the others

Cause: the daemon still used its local share alone. Change: granter and remote reserver in the duty; slots have Expires and Confirm, which the dispatcher calls right before the send; shards tell each other their lowest tier.

--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -156,9 +156,6 @@
 	return err
 }
 
-// expirer is a slot that tells until when it must be used.
-type expirer interface{ Expires() clock.Millis }
-
 // current looks again at what allows the send, right before it: this process
 // may have been paused since.
 func (r *run) current(ctx context.Context, slot reserver.Slot) (err error) {
@@ -167,16 +164,7 @@
 			return err
 		}
 	}
-	now := r.Clock.Now()
-	if e, known := slot.(expirer); known && e.Expires() > 0 && now >= e.Expires() {
-		return errLate
-	}
-	select {
-	case <-slot.Withdrawn():
-		return errLate
-	default:
-	}
-	if now >= r.req.Deadline {
+	if r.Clock.Now() >= r.req.Deadline || !slot.Confirm() {
 		return errLate
 	}
 	return nil
--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -1,17 +1,78 @@
 package main
 
 import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
+	"storj.io/drpc"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/granter"
 	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+	"yuccaspread/daemon/sharder"
 )
 
+// reservationDuty schedules the shards of this daemon and reserves slots at
+// the schedulers of all shards.
 func reservationDuty() fx.Option {
-	return fx.Module("reservation", fx.Provide(
-		func(source inventory.Source, c clock.Clock) reserver.Reserver {
-			return &reserver.Local{Source: source, Clock: c}
+	return fx.Module("reservation",
+		fx.Provide(
+			func(source inventory.Source, view gossiper.View) *sharder.Assigner {
+				return &sharder.Assigner{Source: source, View: view}
+			},
+			newGranter,
+			newRemote,
+			func(r *reserver.Remote) reserver.Reserver { return r },
+		),
+		fx.Invoke(func(l fx.Lifecycle, g *granter.Granter, r *reserver.Remote) {
+			runDuty(l, g.Run)
+			runDuty(l, r.Run)
+		}),
+	)
+}
+
+type granterOut struct {
+	fx.Out
+
+	Granter *granter.Granter
+	Service peerService `group:"peer_services"`
+}
+
+func newGranter(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, registerer prometheus.Registerer) granterOut {
+	g := &granter.Granter{
+		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
+		NewDecider: func() granter.Decider { return &scheduler.State{} },
+		TellPeer:   granter.Teller(peers),
+	}
+	service := func(mux drpc.Mux) error {
+		return wire.DRPCRegisterReservation(mux, &granter.Server{Granter: g})
+	}
+	return granterOut{Granter: g, Service: service}
+}
+
+func newRemote(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, g *granter.Granter, registerer prometheus.Registerer) *reserver.Remote {
+	region := view.Self().Region
+	return &reserver.Remote{
+		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
+		Dial: dialer(view.Self().Name, g, reserver.Stream(peers)),
+		Local: &reserver.Local{
+			Source: source, Clock: c, Daemons: func() int { return a.Current().Daemons(region) },
 		},
-	))
+	}
+}
+
+// dialer reaches the schedulers of this process without any network.
+func dialer(self string, g *granter.Granter, stream reserver.Dialer) reserver.Dialer {
+	return func(ctx context.Context, to gossiper.Member) (l reserver.Link, err error) {
+		if to.Name == self {
+			return g.Attach(self), nil
+		}
+		return stream(ctx, to)
+	}
 }
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -12,6 +12,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/ring"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/scheduler"
@@ -47,8 +48,14 @@
 	// Registerer takes the metrics; nil keeps them to itself.
 	Registerer prometheus.Registerer
 
+	// TellPeer tells another daemon of a tier; nil tells only the shards here.
+	TellPeer func(ctx context.Context, to gossiper.Member, tier *wire.LowestTier) error
+
 	once    sync.Once
 	metrics *metrics
+	// news holds what other shards are to be told. News that find it full are
+	// dropped: they are repeated while they matter.
+	news *ring.Ring[lowestTier]
 
 	mu sync.Mutex
 	// runners holds the carried shards by ID.
@@ -69,6 +76,7 @@
 func (g *Granter) prepare() {
 	g.once.Do(func() {
 		g.metrics = newMetrics(g.Registerer)
+		g.news = ring.New[lowestTier](newsRing)
 		g.runners = map[string]*runner{}
 		g.sessions = map[string]*Session{}
 		g.gone = map[string]clock.Millis{}
@@ -81,6 +89,7 @@
 	g.prepare()
 	g.mu.Lock()
 	g.ctx = ctx
+	g.running.Go(func() { g.spreadNews(ctx) })
 	g.mu.Unlock()
 	ticker := time.NewTicker(refreshInterval.Duration())
 	defer ticker.Stop()
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -242,6 +242,7 @@
 			r.withdraw(e)
 		case scheduler.LowestTier:
 			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
+			r.granter.news.TryPush(lowestTier{shard: r.id, lowest: e.Lowest})
 		}
 	}
 }
--- a/daemon/granter/server.go
+++ b/daemon/granter/server.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// TellLowest implements wire.DRPCReservationServer.
+func (s *Server) TellLowest(_ context.Context, tier *wire.LowestTier) (reply *wire.LowestTierReply, err error) {
+	s.Granter.prepare()
+	s.Granter.takeLowest(tier)
+	return &wire.LowestTierReply{}, nil
+}
+
 // receive passes the daemon's messages on until the stream or the session
 // ends. It ends with the stream, since a finished handler closes that.
 func receive(ctx context.Context, session *Session, stream wire.DRPCReservation_ReserveStream) {
--- a/daemon/granter/session.go
+++ b/daemon/granter/session.go
@@ -88,6 +88,8 @@
 		return s.open(ctx, m.Announce.GetAsk(), input{
 			message: toAnnounce(s.daemon, now, m.Announce), version: m.Announce.GetVersion(),
 		})
+	case *wire.ReserveUp_Confirm:
+		return s.report(ctx, m.Confirm.GetAskId(), false, toConfirm(s.daemon, m.Confirm))
 	case *wire.ReserveUp_FirstToken:
 		return s.report(ctx, m.FirstToken.GetAskId(), false, toFirstToken(s.daemon, m.FirstToken))
 	case *wire.ReserveUp_Cancel:
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -25,6 +25,10 @@
 	return scheduler.Announce{Ask: toAsk(daemon, now, a.GetAsk()), Upstream: a.GetUpstream(), FirstToken: a.GetFirstTokenSeen()}
 }
 
+func toConfirm(daemon string, c *wire.Confirm) input {
+	return input{message: scheduler.Confirm{ID: scheduler.AskID{Daemon: daemon, Number: c.GetAskId()}}}
+}
+
 func toFirstToken(daemon string, f *wire.FirstToken) input {
 	return input{
 		message: scheduler.FirstToken{ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: int(f.GetCachedTokens())},
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -7,6 +7,9 @@
 	"yuccaspread/daemon/classifier"
 )
 
+// confirmTime is the time that a confirmation may take to the scheduler.
+const confirmTime = 500 * clock.Millisecond
+
 // stage is how far an entry has come.
 type stage int
 
@@ -39,10 +42,13 @@
 
 	stage stage
 	// link is the stream on which a scheduler knows of it, nil for none.
-	link        *link
-	upstream    inventory.Upstream
-	version     string
-	granted     clock.Millis
+	link     *link
+	upstream inventory.Upstream
+	version  string
+	granted  clock.Millis
+	// expires is when an unconfirmed slot is lost, 0 for never.
+	expires     clock.Millis
+	confirmed   bool
 	firstToken  clock.Millis
 	isWithdrawn bool
 	// bytes is the paid volume that was set aside for the request.
@@ -164,6 +170,7 @@
 		return
 	}
 	r.hold(e, upstream, grant.GetVersion())
+	e.expires = e.granted + clock.Millis(grant.GetExpiresMs()) - confirmTime
 	e.tell(answer{})
 }
 
@@ -184,6 +191,29 @@
 // the local share.
 func (e *entry) Version() string { return e.version }
 
+// Confirm implements Slot.
+func (e *entry) Confirm() bool {
+	r := e.remote
+	r.mu.Lock()
+	if e.stage != held || e.isWithdrawn || e.expired() {
+		r.mu.Unlock()
+		return false
+	}
+	e.confirmed = true
+	l := e.link
+	r.mu.Unlock()
+	if l != nil {
+		l.push(&wire.ReserveUp{Message: &wire.ReserveUp_Confirm{Confirm: &wire.Confirm{AskId: e.number}}})
+	}
+	return true
+}
+
+// expired tells whether the scheduler has given the slot to another; the lock
+// is held.
+func (e *entry) expired() bool {
+	return !e.confirmed && e.expires > 0 && e.remote.Clock.Now() >= e.expires
+}
+
 // Withdrawn implements Slot.
 func (e *entry) Withdrawn() <-chan struct{} { return e.withdrawn }
 
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -40,7 +40,7 @@
 		l.post(cancelAsk(e.number))
 		e.lose()
 	}
-	if e.stage != held || e.link != nil {
+	if e.stage != held || e.link != nil || e.expired() {
 		return
 	}
 	if l := r.linkLocked(scheduler); l.up {
--- a/daemon/reserver/link.go
+++ b/daemon/reserver/link.go
@@ -187,7 +187,7 @@
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
 		scheduler, _ := assignment.Scheduler(e.shard)
-		if e.stage == held && e.link == nil && scheduler.Name == l.peer.Name {
+		if e.stage == held && e.link == nil && !e.expired() && scheduler.Name == l.peer.Name {
 			e.link = l
 			ups = append(ups, e.announce())
 		}
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -145,6 +145,9 @@
 // Upstream implements Slot.
 func (s *localSlot) Upstream() inventory.Upstream { return s.upstream }
 
+// Confirm implements Slot.
+func (s *localSlot) Confirm() bool { return true }
+
 // FirstToken implements Slot.
 func (s *localSlot) FirstToken(int) {}
 
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -285,14 +285,12 @@
 }
 
 func refusalOf(refusal *wire.Refusal, pool string) *refuser.Refusal {
-	var err *refuser.Refusal
-	switch refusal.GetReason() {
-	case wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL:
+	err := refuser.New(http.StatusServiceUnavailable, "deadline", "pool "+pool+" can't answer before the deadline")
+	if refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL {
 		err = refuser.New(http.StatusServiceUnavailable, "queue full", "more important requests fill the queue of pool "+pool)
-	case wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM:
+	}
+	if refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM {
 		err = errNoUpstream(pool)
-	default:
-		err = refuser.New(http.StatusServiceUnavailable, "deadline", "pool "+pool+" can't answer before the deadline")
 	}
 	err.RetryAfter = clock.Millis(refusal.GetRetryAfterMs())
 	return err
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -34,6 +34,9 @@
 type Slot interface {
 	// Upstream returns the upstream to send to.
 	Upstream() inventory.Upstream
+	// Confirm is called right before the request is sent. It returns false
+	// where the slot has expired or was withdrawn: then nothing may be sent.
+	Confirm() bool
 	// FirstToken reports the first token and how much of the prompt was cached.
 	FirstToken(cachedTokens int)
 	// End gives the slot back; only the first call has an effect.
