--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -16,6 +16,8 @@
 	"yuccaspread/common/reloader"
 	"yuccaspread/daemon/administrator"
 	"yuccaspread/daemon/configurer"
+	"yuccaspread/daemon/drainer"
+	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
 	"yuccaspread/daemon/resolver"
 )
@@ -26,16 +28,27 @@
 			func(s settings, c *configurer.Configurer) *administrator.Administrator {
 				return &administrator.Administrator{Configurer: c, BootstrapTokenSHA256: s.BootstrapTokenSHA256}
 			},
-			func(s settings, source inventory.Source) *resolver.Resolver {
-				own := resolver.Static{{Address: s.Listen, Region: s.Region}}
-				return &resolver.Resolver{Source: source, Members: own}
+			func(g *gossiper.Gossiper, source inventory.Source) *resolver.Resolver {
+				return &resolver.Resolver{Source: source, Members: g}
 			},
+			newDrainer,
 			newRouter,
 		),
-		fx.Invoke(serve),
+		fx.Invoke(
+			func(l fx.Lifecycle, d *drainer.Drainer) { runDuty(l, d.Run) },
+			serve,
+		),
 	)
 }
 
+func newDrainer(c clock.Clock, g *gossiper.Gossiper, source inventory.Source) *drainer.Drainer {
+	return &drainer.Drainer{
+		Clock: c, Leave: g.Leave,
+		Lifetime: func() clock.Millis { return source.Current().Limits.WithDefaults().AddressLifetimeMS },
+		Spread:   func() clock.Millis { return drainer.Spread(len(g.Members()), gossiper.TickInterval) },
+	}
+}
+
 // pageSet is a group of handlers that a duty adds to the listening router
 // through the fx group "pages".
 type pageSet func(router *mux.Router)
@@ -49,6 +62,7 @@
 	Administrator *administrator.Administrator
 	Resolver      *resolver.Resolver
 	Configurer    *configurer.Configurer
+	Drainer       *drainer.Drainer
 	Pages         []pageSet `group:"pages"`
 }
 
@@ -56,7 +70,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.Configurer.Ready() {
+		if !n.Configurer.Ready() || n.Drainer.Leaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -65,7 +79,8 @@
 	for _, page := range n.Pages {
 		page(router)
 	}
-	router.PathPrefix("/").Handler(&listener.Listener{Source: n.Source, Clock: n.Clock, Handler: n.Handler})
+	accept := &listener.Listener{Source: n.Source, Clock: n.Clock, Handler: n.Handler}
+	router.PathPrefix("/").Handler(n.Drainer.Handler(accept))
 	return router
 }
 
@@ -95,9 +110,9 @@
 	return tls.NewListener(socket, keys.Server()), nil
 }
 
-// serve opens the listening socket at the start and waits for the requests in
-// progress at the stop.
-func serve(l fx.Lifecycle, s settings, router *mux.Router) {
+// serve opens the listening socket at the start. At the stop it serves those
+// who may still come, then waits for the requests in progress.
+func serve(l fx.Lifecycle, s settings, router *mux.Router, d *drainer.Drainer) {
 	server := &http.Server{
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -115,7 +130,10 @@
 			go serveOn(server, socket)
 			return nil
 		},
-		OnStop: server.Shutdown,
+		OnStop: func(ctx context.Context) error {
+			d.Drain(ctx)
+			return server.Shutdown(ctx)
+		},
 	})
 }
 
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -114,9 +114,9 @@
 		c.reported = m
 		c.tellReport(now)
 	case Leave:
-		c.turn(now, Leaving)
+		return c.tellAll(now, Leaving)
 	case Stop:
-		return c.stop(now)
+		return c.tellAll(now, Dead)
 	}
 	return nil
 }
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -104,7 +104,6 @@
 // Leave tells the others that this daemon is about to stop.
 func (g *Gossiper) Leave(ctx context.Context) {
 	g.do(ctx, Leave{})
-	g.tick(ctx)
 }
 
 // Register adds the service for other daemons to mux.
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -100,9 +100,10 @@
 	c.self.Heard = now
 }
 
-// stop tells every member of the region that this daemon is gone.
-func (c *Core) stop(now clock.Millis) (effects []Effect) {
-	c.turn(now, Dead)
+// tellAll takes on a state that ends the membership and tells it at once to
+// every member of the region and to those who talk for the other regions.
+func (c *Core) tellAll(now clock.Millis, state State) (effects []Effect) {
+	c.turn(now, state)
 	for _, name := range c.names() {
 		r := c.rows[name]
 		if r.State != Dead && r.Region == c.self.Region {
--- /dev/null
+++ b/daemon/judge/judge_test.go
@@ -0,0 +1,171 @@
+package judge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/judge"
+)
+
+// behaviour draws one request of a version.
+type behaviour func(r *rand.Rand, key judge.Key, window int) judge.Sample
+
+func usual(r *rand.Rand, _ judge.Key, _ int) judge.Sample {
+	tokens := 5 + int(60*r.ExpFloat64())
+	return judge.Sample{Failed: r.Float64() < 0.005, First: clock.Millis(80 + 300*r.ExpFloat64()), Gap: clock.Millis(20 + 10*r.NormFloat64()), Tokens: tokens}
+}
+
+// judgeAll runs windows of 40 requests, a tenth of them on the new version,
+// and returns the window of a bad verdict or 0.
+func judgeAll(seed uint64, windows int, errorRate float64, fresh behaviour) int {
+	r := rand.New(rand.NewPCG(seed, 7))
+	j := &judge.Judge{From: "v1", To: "v2", Error: errorRate}
+	for window := 1; window <= windows; window++ {
+		w := judge.Window{}
+		for range 40 {
+			key := judge.Key{Version: "v1", Route: []string{"a", "b", "c"}[r.IntN(3)], Generation: []string{"g4", "g5"}[r.IntN(2)], Loaded: r.IntN(2) == 0}
+			act := usual
+			if r.Float64() < 0.1 {
+				key.Version, act = "v2", fresh
+			}
+			w.Of(key).Add(act(r, key, window))
+		}
+		if j.Observe(w).Bad {
+			return window
+		}
+	}
+	return 0
+}
+
+func TestGoodVersionIsSeldomCalledBad(t *testing.T) {
+	// The stated rate is one in a hundred; 200 moves may show eight by chance
+	// with a probability below one in a thousand.
+	called := 0
+	for seed := range uint64(200) {
+		if judgeAll(seed, 300, 0.01, usual) > 0 {
+			called++
+		}
+	}
+	if called > 8 {
+		t.Fatalf("%d of 200 good versions were called bad", called)
+	}
+}
+
+func TestBadVersionsAreCalledBad(t *testing.T) {
+	const change = 200
+	cases := map[string]behaviour{
+		"fails at once": func(_ *rand.Rand, _ judge.Key, _ int) judge.Sample { return judge.Sample{Failed: true} },
+		"fails a fifth": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Failed = r.Float64() < 0.2
+			return s
+		},
+		"slow first token": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.First *= 3
+			return s
+		},
+		"slow tokens": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Gap *= 2
+			return s
+		},
+		"later": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Failed = s.Failed || w > change
+			return s
+		},
+		"under load": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Failed = s.Failed || key.Loaded && r.Float64() < 0.5
+			return s
+		},
+		"one route": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Failed = s.Failed || key.Route == "b"
+			return s
+		},
+		"one generation": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Failed = s.Failed || key.Generation == "g4"
+			return s
+		},
+		"empty": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Tokens = 0
+			return s
+		},
+		"cut short": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
+			s := usual(r, key, w)
+			s.Tokens = 1 + r.IntN(3)
+			return s
+		},
+	}
+	for name, fresh := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				at := judgeAll(seed, 600, 0.001, fresh)
+				if at == 0 {
+					t.Fatalf("seed %d: not called bad in 600 windows", seed)
+				}
+				if name == "later" && at <= change {
+					t.Fatalf("seed %d: called bad in window %d, before the change", seed, at)
+				}
+			}
+		})
+	}
+}
+
+func TestBadVersionWithoutTheOldOneBesideIt(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	j := &judge.Judge{From: "v1", To: "v2", Error: 0.001}
+	fill := func(version string, failed float64) judge.Verdict {
+		w := judge.Window{}
+		for range 40 {
+			key := judge.Key{Version: version, Route: "a"}
+			s := usual(r, key, 0)
+			s.Failed = r.Float64() < failed
+			w.Of(key).Add(s)
+		}
+		return j.Observe(w)
+	}
+	for range 50 {
+		fill("v1", 0.01)
+	}
+	for range 100 {
+		if v := fill("v2", 0.01); v.Bad {
+			t.Fatalf("called bad at the old rate: %+v", v)
+		}
+	}
+	for range 20 {
+		fill("v2", 0.3)
+	}
+	if !j.Verdict().Bad {
+		t.Fatalf("not called bad: %+v", j.Verdict())
+	}
+}
+
+func BenchmarkJudgement(b *testing.B) {
+	// 4,500 upstreams of 3 models and 5 generations on 4 routes at the peak of
+	// 9,300 requests a second, judged once a second.
+	r := rand.New(rand.NewPCG(1, 1))
+	windows := make([]judge.Window, 3)
+	for range 9300 {
+		at := r.IntN(3)
+		if windows[at] == nil {
+			windows[at] = judge.Window{}
+		}
+		key := judge.Key{Version: []string{"v1", "v2"}[r.IntN(2)], Route: []string{"a", "b", "c", "d"}[r.IntN(4)], Generation: []string{"1", "2", "3", "4", "5"}[r.IntN(5)], Loaded: r.IntN(2) == 0}
+		windows[at].Of(key).Add(usual(r, key, 0))
+	}
+	judges := [3]judge.Judge{}
+	for i := range judges {
+		judges[i] = judge.Judge{From: "v1", To: "v2", Error: 0.001}
+	}
+	for b.Loop() {
+		for i := range judges {
+			judges[i].Observe(windows[i])
+		}
+	}
+}
--- a/daemon/resolver/resolver.go
+++ b/daemon/resolver/resolver.go
@@ -3,12 +3,14 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/gorilla/mux"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/gossiper"
 )
 
 // Address is one daemon in an answer.
@@ -25,16 +27,19 @@
 	LifetimeMS clock.Millis `json:"lifetime_ms"`
 }
 
-// Members tells which daemons callers may use.
+// Members tells all daemons that are remembered, the dead ones included.
 type Members interface {
-	// Addresses returns them for a caller of the region, the best first.
-	Addresses(region string) []Address
+	Self() gossiper.Member
+	Known() []gossiper.Member
 }
 
 // Resolver serves the answer. Its exported fields are set before Register.
 type Resolver struct {
 	Source  inventory.Source
 	Members Members
+	// CutOff tells that this daemon reaches neither the platform nor any other
+	// daemon; nil stands for never.
+	CutOff func() bool
 }
 
 // Register adds the handler to router.
@@ -44,14 +49,34 @@
 
 func (v *Resolver) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Answer{
-		Addresses:  v.Members.Addresses(r.URL.Query().Get("region")),
-		LifetimeMS: v.Source.Current().Limits.WithDefaults().AddressLifetimeMS,
-	})
+	_ = json.NewEncoder(w).Encode(v.Answer(r.URL.Query().Get("region")))
 }
 
-// Static is a Members that knows a fixed list.
-type Static []Address
+// Answer returns the answer for a caller of the region; an empty one stands
+// for the region of this daemon.
+func (v *Resolver) Answer(region string) Answer {
+	self := v.Members.Self()
+	if region == "" {
+		region = self.Region
+	}
+	config := v.Source.Current()
+	members := v.Members.Known()
+	if v.CutOff != nil && v.CutOff() {
+		members = withoutProof(members, self.Name)
+	}
+	return Answer{
+		Addresses:  Order(members, config.Regions, region, rand.Float64),
+		LifetimeMS: config.Limits.WithDefaults().AddressLifetimeMS,
+	}
+}
 
-// Addresses implements Members.
-func (s Static) Addresses(string) []Address { return s }
+// withoutProof returns a copy in which the named member counts as suspected.
+func withoutProof(members []gossiper.Member, name string) []gossiper.Member {
+	copied := append([]gossiper.Member(nil), members...)
+	for i, m := range copied {
+		if m.Name == name && m.State == gossiper.Alive {
+			copied[i].State = gossiper.Suspect
+		}
+	}
+	return copied
+}
--- /dev/null
+++ b/daemon/stager/shares.go
@@ -0,0 +1,44 @@
+package stager
+
+import "yuccaspread/daemon/scheduler"
+
+// shares returns the shares for the schedulers: at most share for the new
+// version, and no more than its upstreams can carry while the last ones change.
+func (s *Stager) shares(in Input, next Row, share float64) scheduler.Shares {
+	ready := served(in, next.To)
+	switch {
+	case next.Undone() || share <= 0:
+		return Stopped(next.From, next.To)
+	case share >= 1 && ready < 1:
+		share = ready
+	}
+	out := scheduler.Shares{Shares: map[string]float64{next.To: share, next.From: 1 - share}}
+	// Requests that must not run twice come last.
+	if in.Row.Share >= 1 {
+		out.NonIdempotent = append(out.NonIdempotent, next.To)
+	}
+	if share < 1 {
+		out.NonIdempotent = append(out.NonIdempotent, next.From)
+	}
+	return out
+}
+
+// Stopped returns the shares that keep all traffic from the new version.
+func Stopped(from, to string) scheduler.Shares {
+	return scheduler.Shares{Shares: map[string]float64{to: 0, from: 1}, NonIdempotent: []string{from}}
+}
+
+// served is the part of the present slots whose upstreams report the version.
+func served(in Input, version string) float64 {
+	all, some := 0, 0
+	for _, u := range in.Upstreams {
+		if away(in, u) {
+			continue
+		}
+		all += u.Slots
+		if u.Report.Version == version {
+			some += u.Slots
+		}
+	}
+	return float64(some) / float64(max(all, 1))
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -1,106 +1,67 @@
 // Command yuccactl is the operators' command line.
+//
+// Its exit status is 0 for success, 1 for a failure, 2 for a wrong call or
+// bad input, 3 when another operator changed the configuration meanwhile, 4
+// when a change or call was refused, 5 when no daemon answered, and 6 when
+// "diff" found differences.
 package main
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
-
-	"yuccaspread/common/inventory"
-	"yuccaspread/common/loader"
-	"yuccaspread/operator/requester"
 )
 
 // version is set by the linker.
 var version = "development"
 
 func main() {
-	if err := run(context.Background(), os.Stdout); err != nil {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx)
+	cancel()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "yuccactl:", err)
-		os.Exit(1)
-	}
-}
-
-func run(ctx context.Context, out io.Writer) (err error) {
-	server := "http://127.0.0.1:8080"
-	token := os.Getenv("YUCCACTL_TOKEN")
-	var files []string
-	flaggy.SetName("yuccactl")
-	flaggy.SetDescription("Reads and changes the configuration of yuccaspread.")
-	flaggy.SetVersion(version)
-	flaggy.String(&server, "s", "server", "URL of a daemon")
-	flaggy.String(&token, "t", "token", "operator's token; better set YUCCACTL_TOKEN")
-	apply := flaggy.NewSubcommand("apply")
-	apply.Description = "bring the files in force as the next revision"
-	apply.StringSlice(&files, "f", "file", "TOML file of the inventory or the rules; may be repeated")
-	get := flaggy.NewSubcommand("get")
-	get.Description = "print the configuration in force"
-	flaggy.AttachSubcommand(apply, 1)
-	flaggy.AttachSubcommand(get, 1)
-	flaggy.Parse()
-	caller := &requester.Requester{Base: server, Token: token}
-	switch {
-	case apply.Used:
-		return applyFiles(ctx, out, caller, files)
-	case get.Used:
-		return printConfig(ctx, out, caller)
-	default:
-		flaggy.ShowHelpAndExit("no command given")
-		return nil
 	}
+	os.Exit(exitStatus(err))
 }
 
-func applyFiles(ctx context.Context, out io.Writer, caller *requester.Requester, files []string) (err error) {
-	wanted, err := readFiles(files)
-	if err != nil {
-		return err
+// run parses the command line and runs the command that it names.
+func run(ctx context.Context) (err error) {
+	c := &control{
+		Server: "http://127.0.0.1:8080",
+		Token:  os.Getenv("YUCCACTL_TOKEN"),
+		Format: "table",
+		Out:    os.Stdout,
 	}
-	present, err := caller.Config(ctx)
-	if err != nil {
-		return err
+	if server, found := os.LookupEnv("YUCCACTL_SERVER"); found {
+		c.Server = server
 	}
-	delta, err := present.Diff(wanted)
-	if err != nil {
-		return err
-	}
-	if delta.Empty() {
-		_, err = fmt.Fprintln(out, "nothing to change, revision", present.Revision)
-		return err
+	flaggy.SetName("yuccactl")
+	flaggy.SetDescription("Reads and changes what yuccaspread does.")
+	flaggy.SetVersion(version)
+	flaggy.EnableCompletion()
+	flaggy.String(&c.Server, "s", "server", "URL of a daemon, or YUCCACTL_SERVER")
+	flaggy.String(&c.Token, "t", "token", "operator's token; better set YUCCACTL_TOKEN")
+	flaggy.String(&c.Format, "o", "output", "table or json")
+	flaggy.String(&c.CAFile, "", "ca-file", "PEM file with the authority of the daemons' certificates")
+	commands := c.commands()
+	for _, command := range commands {
+		command.sub.Description = command.description
+		flaggy.AttachSubcommand(command.sub, 1)
 	}
-	delta.ChangeID = uuid.NewString()
-	revision, err := caller.Change(ctx, delta)
-	if err != nil {
+	flaggy.Parse()
+	if err = c.prepare(); err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(out, "accepted as revision", revision)
-	return err
-}
-
-// readFiles reads all files as parts of one configuration.
-func readFiles(files []string) (config inventory.Config, err error) {
-	var all []byte
-	for _, file := range files {
-		content, err := os.ReadFile(file)
-		if err != nil {
-			return config, err
+	for _, command := range commands {
+		if command.sub.Used {
+			return command.run(ctx)
 		}
-		all = append(append(all, content...), '\n')
-	}
-	err = loader.Decode(all, &config)
-	return config.Sorted(), err
-}
-
-func printConfig(ctx context.Context, out io.Writer, caller *requester.Requester) (err error) {
-	config, err := caller.Config(ctx)
-	if err != nil {
-		return err
 	}
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(config)
+	flaggy.ShowHelp("no command given")
+	return errUsage
 }
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -20,8 +20,13 @@
 // maxReplyBytes bounds what is read of a reply.
 const maxReplyBytes = 64 << 20
 
-// ErrConflict means that the configuration has changed since it was read.
-var ErrConflict = errors.New("the configuration has changed since it was read")
+// Errors of calls that a daemon answered.
+var (
+	// ErrConflict means that the configuration has changed since it was read.
+	ErrConflict = errors.New("the configuration has changed since it was read")
+	// ErrRefused means that the daemon did not do what was asked.
+	ErrRefused = errors.New("refused")
+)
 
 // Requester calls one daemon. Its exported fields are set before use.
 type Requester struct {
@@ -39,12 +44,17 @@
 	return config, err
 }
 
-// Change proposes the delta and returns the revision that it became.
-func (q *Requester) Change(ctx context.Context, delta inventory.Delta) (revision int64, err error) {
+// Change proposes the delta and returns the revision that it became, or would
+// become where dryRun is set.
+func (q *Requester) Change(ctx context.Context, delta inventory.Delta, dryRun bool) (revision int64, err error) {
+	path := "/v1/admin/config"
+	if dryRun {
+		path += "?dry_run=true"
+	}
 	var answer struct {
 		Revision int64 `json:"revision"`
 	}
-	err = q.Call(ctx, http.MethodPost, "/v1/admin/config", delta, &answer)
+	err = q.Call(ctx, http.MethodPost, path, delta, &answer)
 	return answer.Revision, err
 }
 
@@ -89,8 +99,14 @@
 	if res.StatusCode == http.StatusPreconditionFailed {
 		return fmt.Errorf("%w: %s", ErrConflict, content)
 	}
+	if res.StatusCode/100 == 4 {
+		return fmt.Errorf("%w: %s: %s", ErrRefused, res.Status, content)
+	}
 	if res.StatusCode/100 != 2 {
 		return fmt.Errorf("%s: %s", res.Status, content)
 	}
+	if reply == nil || len(content) == 0 {
+		return nil
+	}
 	return json.Unmarshal(content, reply)
 }
