Watcher: load, health and cache events reach the schedulers

Cause: the schedulers knew nothing of their upstreams but what they had granted. Change: daemon/watcher polls the load report and the cache events of carried shards; the stand-in engine keeps cache events, may lose some and may renew its load report late.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
@@ -16,8 +17,12 @@
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
+	"yuccaspread/daemon/watcher"
 )
 
+// reportTimeout bounds the wait for an upstream's report.
+const reportTimeout = 1 * clock.Second
+
 // reservationDuty schedules the shards of this daemon and reserves slots at
 // the schedulers of all shards.
 func reservationDuty() fx.Option {
@@ -34,6 +39,7 @@
 			runDuty(l, g.Run)
 			runDuty(l, r.Run)
 		}),
+		fx.Invoke(watchUpstreams),
 	)
 }
 
@@ -67,6 +73,16 @@
 	}
 }
 
+// watchUpstreams tells the schedulers of this daemon how their upstreams are.
+func watchUpstreams(l fx.Lifecycle, source inventory.Source, c clock.Clock, g *granter.Granter) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: reportTimeout.Duration()}
+	w := &watcher.Watcher{
+		Upstreams: g.Upstreams, Source: source, Tell: g.Tell, Clock: c,
+		Client: &http.Client{Transport: transport},
+	}
+	runDuty(l, w.Run)
+}
+
 // dialer reaches the schedulers of this process without any network.
 func dialer(self string, g *granter.Granter, stream reserver.Dialer) reserver.Dialer {
 	return func(ctx context.Context, to gossiper.Member) (l reserver.Link, err error) {
--- a/standin/generator/cache.go
+++ b/standin/generator/cache.go
@@ -22,7 +22,8 @@
 }
 
 // add makes the blocks the newest ones and drops the oldest beyond capacity.
-func (c *prefixCache) add(blocks []uint64) {
+// It returns the blocks that came and those that left.
+func (c *prefixCache) add(blocks []uint64) (stored, removed []uint64) {
 	if c.blocks == nil {
 		c.blocks = map[uint64]*list.Element{}
 		c.order = list.New()
@@ -33,9 +34,13 @@
 			continue
 		}
 		c.blocks[b] = c.order.PushFront(b)
+		stored = append(stored, b)
 	}
 	for c.order.Len() > c.capacity {
 		oldest := c.order.Back()
-		delete(c.blocks, c.order.Remove(oldest).(uint64))
+		b := c.order.Remove(oldest).(uint64)
+		delete(c.blocks, b)
+		removed = append(removed, b)
 	}
+	return stored, removed
 }
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -41,6 +41,10 @@
 	GapPerRequest clock.Millis
 	// CacheBlocks bounds the prefix cache, in blocks.
 	CacheBlocks int
+	// ReportEvery is the age at which a load report is renewed; 0 renews each.
+	ReportEvery clock.Millis
+	// LoseEvery loses each cache event whose number it divides; 0 loses none.
+	LoseEvery int64
 
 	once  sync.Once
 	slots chan struct{}
@@ -49,6 +53,8 @@
 	running int
 	waiting int
 	cache   prefixCache
+	events  eventLog
+	report  loadReport
 	served  int
 }
 
@@ -89,22 +95,12 @@
 	g.once.Do(func() {
 		g.slots = make(chan struct{}, max(g.Slots, 1))
 		g.cache.capacity = g.CacheBlocks
+		g.events.loseEvery = g.LoseEvery
 	})
 	router.HandleFunc("/v1/chat/completions", g.serveCompletion).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", g.serveCompletion).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", g.serveLoad).Methods(http.MethodGet)
-}
-
-func (g *Generator) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(struct {
-		TimeMS  clock.Millis `json:"time_ms"`
-		Running int          `json:"running"`
-		Waiting int          `json:"waiting"`
-		Version string       `json:"version"`
-		Served  int          `json:"served"`
-	}{clock.System{}.Now(), g.running, g.waiting, g.Version, g.served})
+	router.HandleFunc("/v1/cache_events", g.serveEvents).Methods(http.MethodGet)
 }
 
 func (g *Generator) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -166,7 +162,7 @@
 	blocks := hasher.Prefix(prompt)
 	g.mu.Lock()
 	hits := g.cache.hits(blocks)
-	g.cache.add(blocks)
+	g.events.add(g.cache.add(blocks))
 	g.mu.Unlock()
 	cached := hits * hasher.BlockTokens
 	fresh := max(hasher.Tokens(prompt)-cached, 0)
--- a/standin/main.go
+++ b/standin/main.go
@@ -129,7 +129,7 @@
 			Name: e.Name, Version: e.Version, Slots: e.Slots,
 			PrefillTokensPerSecond: e.PrefillTokensPerSecond,
 			TokenGap:               e.TokenGapMS, GapPerRequest: e.GapPerRequestMS,
-			CacheBlocks: e.CacheBlocks,
+			CacheBlocks: e.CacheBlocks, ReportEvery: e.ReportEveryMS, LoseEvery: e.LoseEvery,
 		}
 		engine.Register(router)
 		all[e.Listen] = router
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -37,6 +37,10 @@
 	TokenGapMS             clock.Millis `toml:"token_gap_ms" validate:"gte=0"`
 	GapPerRequestMS        clock.Millis `toml:"gap_per_request_ms" validate:"gte=0"`
 	CacheBlocks            int          `toml:"cache_blocks" validate:"gte=0"`
+	// ReportEveryMS is the age at which load reports are renewed.
+	ReportEveryMS clock.Millis `toml:"report_every_ms" validate:"gte=0"`
+	// LoseEvery loses each cache event whose number it divides.
+	LoseEvery int64 `toml:"lose_every" validate:"gte=0"`
 }
 
 type serviceSettings struct {
