Placing: count the delay of others, judge by a careful length under pressure

Cause: in overload each grant came at the edge of its deadline, and a median length let half of them miss it; work crowded on the fastest upstreams. Change: the score adds what a request delays those beside it; a tier with 16 or more waiting is judged by the 0.9 quantile of the output length. Also the flight recorder and the names of messages in it.

--- a/daemon/placer/placer.go
+++ b/daemon/placer/placer.go
@@ -25,6 +25,9 @@
 	PrefillMS    float64
 	FirstTokenMS float64
 	EndMS        float64
+	// OthersMS is the time by which it delays those that run beside it, all
+	// together.
+	OthersMS float64
 }
 
 // Expect returns what to expect of the work on an upstream.
@@ -33,6 +36,8 @@
 	e.PrefillMS = speed.Prefill.At(float64(work.Fresh()))
 	e.FirstTokenMS = load.PrefillMS + e.PrefillMS
 	e.EndMS = e.FirstTokenMS + gap*float64(max(work.Output-1, 0))
+	_, slope := speed.Gap.Fit()
+	e.OthersMS = slope * float64(load.Running) * float64(work.Output)
 	return e
 }
 
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -41,15 +41,24 @@
 func (s *State) newAsk(m Ask) *ask {
 	m.Tier = max(m.Tier, 0)
 	a := &ask{Ask: m, arrived: s.now}
-	q := s.OutputQuantile
-	if q <= 0 || q >= 1 {
-		q = defaultQuantile
-	}
-	a.output = s.lengths.Quantile(m.Route, m.Organisation, q)
+	a.output = s.outputOf(m, orStandard(s.OutputQuantile, defaultQuantile))
+	a.careful = max(s.outputOf(m, orStandard(s.CarefulQuantile, defaultCareful)), a.output)
+	return a
+}
+
+func (s *State) outputOf(m Ask, quantile float64) int {
+	tokens := s.lengths.Quantile(m.Route, m.Organisation, quantile)
 	if m.MaxTokens > 0 {
-		a.output = min(a.output, m.MaxTokens)
+		return min(tokens, m.MaxTokens)
 	}
-	return a
+	return tokens
+}
+
+func orStandard(quantile, standard float64) float64 {
+	if quantile <= 0 || quantile >= 1 {
+		return standard
+	}
+	return quantile
 }
 
 func (s *State) remember(a *ask) {
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -27,6 +27,18 @@
 	expected placer.Expected
 }
 
+// pressedWaiting is the number of asks of one tier from which on only those
+// get a slot that will surely use it well.
+const pressedWaiting = 16
+
+// output is the length of the answer that the deadline is judged by.
+func (s *State) output(a *ask) int {
+	if s.queue.Waiting(a.Tier) >= pressedWaiting {
+		return a.careful
+	}
+	return a.output
+}
+
 // reach looks at all upstreams for an ask.
 func (s *State) reach(a *ask) reach { return s.reachBeside(a, 0) }
 
@@ -34,6 +46,7 @@
 func (s *State) reachBeside(a *ask, held uint64) (r reach) {
 	r.shortestMS = math.Inf(1)
 	left := float64(a.Deadline - s.now)
+	output := s.output(a)
 	owed := s.shares.owed(s, a)
 	depths := s.index.Match(a.PrefixHashes, s.places())
 	bestMS := math.Inf(1)
@@ -42,7 +55,7 @@
 			continue
 		}
 		r.usable |= u.mask()
-		work := placer.Work{Prompt: a.PromptTokens, Output: a.output}
+		work := placer.Work{Prompt: a.PromptTokens, Output: output}
 		work.Cached = min(int(depths[u.place])*hasher.BlockTokens, a.PromptTokens)
 		load := u.load(s.now)
 		e := placer.Expect(u.speed, load, work)
@@ -52,7 +65,7 @@
 		if held&u.mask() != 0 || e.EndMS > left || !s.free(u, a, load, e) {
 			continue
 		}
-		score := e.EndMS
+		score := e.EndMS + e.OthersMS
 		if owed != "" && u.version == owed {
 			score -= math.MaxInt32
 		}
--- /dev/null
+++ b/daemon/scheduler/record.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Package is the name under which messages of this package are recorded.
+const Package = "scheduler"
+
+// Kind returns the name of a message's type in records.
+func Kind(m Message) string {
+	switch m.(type) {
+	case Ask:
+		return "ask"
+	case Cancel:
+		return "cancel"
+	case Confirm:
+		return "confirm"
+	case FirstToken:
+		return "first_token"
+	case End:
+		return "end"
+	case Announce:
+		return "announce"
+	case DaemonGone:
+		return "daemon_gone"
+	case Upstreams:
+		return "upstreams"
+	case Rules:
+		return "rules"
+	case Load:
+		return "load"
+	case CacheChange:
+		return "cache_change"
+	case Health:
+		return "health"
+	case Shares:
+		return "shares"
+	case RegionTier:
+		return "region_tier"
+	default:
+		return "tick"
+	}
+}
+
+// Replaces tells whether messages of a kind replace what earlier ones of it
+// said, so that a record needs the newest one only.
+func Replaces(kind string) bool {
+	return kind == "upstreams" || kind == "rules" || kind == "shares"
+}
+
+// Parse turns a recorded message back into one.
+func Parse(kind string, raw []byte) (m Message, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("parse %s: %w", kind, err)
+		}
+	}()
+	parse, known := parsers()[kind]
+	if !known {
+		return nil, fmt.Errorf("unknown kind %q", kind)
+	}
+	return parse(raw)
+}
+
+func parsers() map[string]func([]byte) (Message, error) {
+	return map[string]func([]byte) (Message, error){
+		Kind(Ask{}):         parseAs[Ask],
+		Kind(Cancel{}):      parseAs[Cancel],
+		Kind(Confirm{}):     parseAs[Confirm],
+		Kind(FirstToken{}):  parseAs[FirstToken],
+		Kind(End{}):         parseAs[End],
+		Kind(Announce{}):    parseAs[Announce],
+		Kind(DaemonGone{}):  parseAs[DaemonGone],
+		Kind(Upstreams{}):   parseAs[Upstreams],
+		Kind(Rules{}):       parseAs[Rules],
+		Kind(Load{}):        parseAs[Load],
+		Kind(CacheChange{}): parseAs[CacheChange],
+		Kind(Health{}):      parseAs[Health],
+		Kind(Shares{}):      parseAs[Shares],
+		Kind(RegionTier{}):  parseAs[RegionTier],
+		Kind(Tick{}):        parseAs[Tick],
+	}
+}
+
+func parseAs[M Message](raw []byte) (Message, error) {
+	var m M
+	err := json.Unmarshal(raw, &m)
+	return m, err
+}
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -12,6 +12,7 @@
 const (
 	defaultGrantLifetime = 5 * clock.Second
 	defaultQuantile      = 0.5
+	defaultCareful       = 0.9
 )
 
 // State is the scheduler of one shard. The zero value works; its exported
@@ -22,6 +23,9 @@
 	// OutputQuantile is the quantile of output lengths that deadlines are
 	// judged by, in (0, 1); 0 means the median.
 	OutputQuantile float64
+	// CarefulQuantile is used instead where a tier has more waiting than it
+	// can be served in time, in (0, 1); 0 means 0.9.
+	CarefulQuantile float64
 	// CacheBlocks bounds the prompt blocks that are known; 0 means a default.
 	CacheBlocks int
 
@@ -56,8 +60,9 @@
 	Ask
 	entry   queuer.Entry[*ask]
 	arrived clock.Millis
-	// output is the expected number of output tokens.
-	output int
+	// output is the expected number of output tokens, careful one that is
+	// rarely exceeded.
+	output, careful int
 
 	// upstream is nil while the ask waits.
 	upstream  *upstream
