--- /dev/null
+++ b/daemon/recorder/recorder_test.go
@@ -0,0 +1,67 @@
+package recorder_test
+
+import (
+	"bytes"
+	"testing"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/recorder"
+	"yuccaspread/daemon/scheduler"
+)
+
+func add(r *recorder.Recorder, now clock.Millis, m scheduler.Message) {
+	kind := scheduler.Kind(m)
+	r.Add(now, scheduler.Package, "s", kind, scheduler.Replaces(kind), m)
+}
+
+// TestRecordReplays reads a record back and gets the effects of the original.
+func TestRecordReplays(t *testing.T) {
+	messages := []scheduler.Message{
+		scheduler.Upstreams{List: []inventory.Upstream{{Name: "old", Slots: 1}}},
+		scheduler.Upstreams{List: []inventory.Upstream{{Name: "new", Slots: 1}}},
+		scheduler.Ask{ID: scheduler.AskID{Daemon: "d", Number: 1}, Deadline: 100_000, PromptTokens: 10},
+		scheduler.Ask{ID: scheduler.AskID{Daemon: "d", Number: 2}, Deadline: 100_000, PromptTokens: 10},
+		scheduler.Cancel{ID: scheduler.AskID{Daemon: "d", Number: 1}},
+	}
+	r := recorder.Recorder{Size: 3}
+	for i, m := range messages {
+		// Switched on late, so that the upstreams are known from before only.
+		if i == 2 {
+			r.Switch(true)
+		}
+		add(&r, clock.Millis(i), m)
+	}
+	var file bytes.Buffer
+	if err := r.Write(&file); err != nil {
+		t.Fatal(err)
+	}
+	records, err := recorder.Read(&file)
+	if err != nil || len(records) != 4 {
+		t.Fatalf("%d records, %v", len(records), err)
+	}
+	var state scheduler.State
+	granted := map[uint64]string{}
+	for _, record := range records {
+		m, err := scheduler.Parse(record.Kind, record.Message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range state.Update(record.AtMS, m) {
+			if g, is := e.(scheduler.Grant); is {
+				granted[g.ID.Number] = g.Upstream
+			}
+		}
+	}
+	if granted[1] != "new" || granted[2] != "new" {
+		t.Fatalf("granted %v", granted)
+	}
+}
+
+func TestOffRecordsNothing(t *testing.T) {
+	r := recorder.Recorder{}
+	add(&r, 1, scheduler.Tick{})
+	if len(r.Records()) != 0 {
+		t.Fatal("a recorder that is off records")
+	}
+}
--- a/replayer/batcher/batcher.go
+++ b/replayer/batcher/batcher.go
@@ -4,6 +4,7 @@
 package batcher
 
 import (
+	"cmp"
 	"container/list"
 	"math"
 	"slices"
@@ -12,8 +13,7 @@
 	"yuccaspread/replayer/parser"
 )
 
-// readingSlowdown is how much reading a prompt stretches the time between
-// tokens of the others.
+// readingSlowdown is how much reading stretches the time between tokens.
 const readingSlowdown = 1.2
 
 // Job is one attempt of a request on an engine.
@@ -26,6 +26,7 @@
 	// Read is the number of prompt tokens that were worked on.
 	Read float64
 
+	begun  bool
 	endsAt float64 // in tokens that the batch has generated
 }
 
@@ -62,34 +63,27 @@
 func (e *Engine) Cancel(j *Job) {
 	is := func(o *Job) bool { return o == j }
 	e.waiting = slices.DeleteFunc(e.waiting, is)
-	first := len(e.reading) > 0 && e.reading[0] == j
 	e.reading = slices.DeleteFunc(e.reading, is)
 	e.writing = slices.DeleteFunc(e.writing, is)
-	if first {
-		e.begin()
-	}
 	e.admit()
 }
 
-// Running and Waiting are what a load report tells.
-func (e *Engine) Running() int { return len(e.reading) + len(e.writing) }
-
-// Waiting returns the jobs that found no room.
-func (e *Engine) Waiting() int { return len(e.waiting) }
+// Load returns the jobs in the batch and those that found no room in it.
+func (e *Engine) Load() (running, waiting int) {
+	return len(e.reading) + len(e.writing), len(e.waiting)
+}
 
 // Drop empties the engine and returns what ran or waited there.
 func (e *Engine) Drop() []*Job {
 	all := slices.Concat(e.waiting, e.reading, e.writing)
-	e.waiting, e.reading, e.writing = nil, nil, nil
-	e.cache = cache{}
+	e.waiting, e.reading, e.writing, e.cache = nil, nil, nil, cache{}
 	return all
 }
 
 // CacheChanges returns the blocks stored and removed since the last call.
 func (e *Engine) CacheChanges() (stored, removed []uint64) {
-	stored, removed = e.cache.stored, e.cache.removed
-	e.cache.stored, e.cache.removed = nil, nil
-	return stored, removed
+	defer func() { e.cache.stored, e.cache.removed = nil, nil }()
+	return e.cache.stored, e.cache.removed
 }
 
 // Next returns when the next event comes, infinity for never.
@@ -98,8 +92,8 @@
 	if len(e.reading) > 0 {
 		next = e.now + e.readingLeft()
 	}
-	if j := e.nearest(); j != nil {
-		next = min(next, e.now+(j.endsAt-e.generated)*e.gap())
+	if len(e.writing) > 0 {
+		next = min(next, e.now+(e.writing[0].endsAt-e.generated)*e.gap())
 	}
 	return next
 }
@@ -121,9 +115,9 @@
 		}
 	}
 	e.now = now
-	for j := e.nearest(); j != nil && j.endsAt <= e.generated+tiny; j = e.nearest() {
-		e.writing = slices.DeleteFunc(e.writing, func(o *Job) bool { return o == j })
-		events = append(events, Event{Job: j, Ended: true})
+	for len(e.writing) > 0 && e.writing[0].endsAt <= e.generated+tiny {
+		events = append(events, Event{Job: e.writing[0], Ended: true})
+		e.writing = e.writing[1:]
 	}
 	e.admit()
 	return events
@@ -132,40 +126,33 @@
 func (e *Engine) finishReading(j *Job) {
 	e.reading = e.reading[1:]
 	j.endsAt = e.generated + float64(j.Output-1)
-	e.writing = append(e.writing, j)
+	at, _ := slices.BinarySearchFunc(e.writing, j.endsAt, func(o *Job, end float64) int { return cmp.Compare(o.endsAt, end) })
+	e.writing = slices.Insert(e.writing, at, j)
 	e.cache.add(j.Blocks, e.CacheBlocks)
-	e.begin()
-}
-
-// begin looks up what the cache has of the next prompt.
-func (e *Engine) begin() {
-	if len(e.reading) > 0 && e.reading[0].Read == 0 {
-		j := e.reading[0]
-		j.Cached = min(e.cache.hits(j.Blocks)*hasher.BlockTokens, j.Prompt-1)
-	}
 }
 
 // admit lets waiting jobs in as long as there are slots and memory.
 func (e *Engine) admit() {
-	for len(e.waiting) > 0 && e.Running() < e.Slots && (e.Running() == 0 || e.fits(e.waiting[0])) {
+	used := 0
+	for _, j := range slices.Concat(e.reading, e.writing) {
+		used += j.Prompt + j.Output
+	}
+	for running, waiting := e.Load(); waiting > 0 && running < e.Slots; running, waiting = e.Load() {
+		used += e.waiting[0].Prompt + e.waiting[0].Output
+		if running > 0 && used > e.MemoryTokens {
+			return
+		}
 		e.reading = append(e.reading, e.waiting[0])
 		e.waiting = e.waiting[1:]
-		if len(e.reading) == 1 {
-			e.begin()
-		}
-	}
-}
-
-func (e *Engine) fits(j *Job) bool {
-	used := j.Prompt + j.Output
-	for _, o := range slices.Concat(e.reading, e.writing) {
-		used += o.Prompt + o.Output
 	}
-	return used <= e.MemoryTokens
 }
 
 func (e *Engine) readingLeft() float64 {
 	j := e.reading[0]
+	if !j.begun {
+		j.begun = true
+		j.Cached = min(e.cache.hits(j.Blocks)*hasher.BlockTokens, j.Prompt-1)
+	}
 	return max(float64(j.Prompt-j.Cached)-j.Read, 0) / e.PrefillPerSecond * 1000 * e.Slowness
 }
 
@@ -177,15 +164,6 @@
 	return gap
 }
 
-func (e *Engine) nearest() (nearest *Job) {
-	for _, j := range e.writing {
-		if nearest == nil || j.endsAt < nearest.endsAt {
-			nearest = j
-		}
-	}
-	return nearest
-}
-
 // cache keeps the blocks that were used last.
 type cache struct {
 	order           list.List
@@ -207,12 +185,11 @@
 		c.blocks = map[uint64]*list.Element{}
 	}
 	for _, b := range blocks {
-		if element := c.blocks[b]; element != nil {
-			c.order.MoveToFront(element)
-			continue
+		if c.blocks[b] == nil {
+			c.blocks[b] = c.order.PushFront(b)
+			c.stored = append(c.stored, b)
 		}
-		c.blocks[b] = c.order.PushFront(b)
-		c.stored = append(c.stored, b)
+		c.order.MoveToFront(c.blocks[b])
 	}
 	for c.order.Len() > capacity {
 		oldest := c.order.Remove(c.order.Back()).(uint64)
--- a/replayer/generator/scenarios.go
+++ b/replayer/generator/scenarios.go
@@ -9,6 +9,9 @@
 	"yuccaspread/replayer/parser"
 )
 
+// modelPool is the pool of model engines.
+const modelPool = "model"
+
 // Targets of the tiers.
 const (
 	firstTokenTarget = 860 * clock.Millisecond
@@ -45,8 +48,8 @@
 func steady() scenario {
 	return scenario{
 		head:          head(4),
-		upstreams:     engines("r1", "model", 3, 3, 2),
-		classes:       fourTiers("model"),
+		upstreams:     engines("r1", modelPool, 3, 3, 2),
+		classes:       fourTiers(modelPool),
 		organisations: organisations(12),
 		regions:       map[string]float64{"r1": 1},
 		length:        4 * clock.Minute,
@@ -80,9 +83,9 @@
 func mixed() scenario {
 	s := steady()
 	s.classes = []class{
-		{route: "question", pool: "model", tier: 1, weight: 0.8, prompt: 60, output: 30, spread: 0.4, patience: 10 * clock.Second, idempotent: true, shared: 0.5},
-		{route: "summary", pool: "model", tier: 1, weight: 0.12, prompt: 800, output: 200, spread: 0.5, patience: 60 * clock.Second, idempotent: true, shared: 0.3},
-		{route: "analysis", pool: "model", tier: 2, weight: 0.08, prompt: 6000, output: 1200, spread: 0.5, patience: 300 * clock.Second, idempotent: true, shared: 0.2},
+		{route: "question", pool: modelPool, tier: 1, weight: 0.8, prompt: 60, output: 30, spread: 0.4, patience: 10 * clock.Second, idempotent: true, shared: 0.5},
+		{route: "summary", pool: modelPool, tier: 1, weight: 0.12, prompt: 800, output: 200, spread: 0.5, patience: 60 * clock.Second, idempotent: true, shared: 0.3},
+		{route: "analysis", pool: modelPool, tier: 2, weight: 0.08, prompt: 6000, output: 1200, spread: 0.5, patience: 300 * clock.Second, idempotent: true, shared: 0.2},
 	}
 	s.perSecond = 22
 	return s
@@ -131,8 +134,8 @@
 func zeltfest() scenario {
 	classes := []class{
 		{route: "book_seat", pool: "booking", tier: 0, weight: 0.3, prompt: 100, output: 2, spread: 0.2, patience: 10 * clock.Second, shared: 0},
-		{route: "confirm_meals", pool: "model", tier: 1, weight: 0.25, prompt: 250, output: 50, spread: 0.4, patience: 15 * clock.Second, idempotent: true, shared: 0.6},
-		{route: "question", pool: "model", tier: 2, weight: 0.45, prompt: 400, output: 180, spread: 0.6, patience: 70 * clock.Second, idempotent: true, shared: 0.5},
+		{route: "confirm_meals", pool: modelPool, tier: 1, weight: 0.25, prompt: 250, output: 50, spread: 0.4, patience: 15 * clock.Second, idempotent: true, shared: 0.6},
+		{route: "question", pool: modelPool, tier: 2, weight: 0.45, prompt: 400, output: 180, spread: 0.6, patience: 70 * clock.Second, idempotent: true, shared: 0.5},
 	}
 	s := scenario{
 		head: head(8), classes: classes,
@@ -147,9 +150,9 @@
 		length:  8 * clock.Minute, perSecond: 34,
 		shape: ramp(2*clock.Minute, 4*clock.Minute, 2),
 	}
-	s.upstreams = append(s.upstreams, engines("wien-a", "model", 1, 2, 2)...)
-	s.upstreams = append(s.upstreams, engines("graz-a", "model", 1, 1, 0)...)
-	s.upstreams = append(s.upstreams, engines("linz-a", "model", 0, 2, 1)...)
+	s.upstreams = append(s.upstreams, engines("wien-a", modelPool, 1, 2, 2)...)
+	s.upstreams = append(s.upstreams, engines("graz-a", modelPool, 1, 1, 0)...)
+	s.upstreams = append(s.upstreams, engines("linz-a", modelPool, 0, 2, 1)...)
 	for _, region := range []string{"wien-a", "graz-a", "linz-a"} {
 		s.upstreams = append(s.upstreams, service(region, "booking"))
 	}
--- /dev/null
+++ b/replayer/runner/record.go
@@ -0,0 +1,80 @@
+package runner
+
+import (
+	"fmt"
+
+	"yuccaspread/daemon/recorder"
+	"yuccaspread/daemon/scheduler"
+)
+
+// RecordResult sums up what a scheduler decides on a flight record.
+type RecordResult struct {
+	Shard    string `json:"shard"`
+	Messages int    `json:"messages"`
+	// Granted counts grants by upstream.
+	Granted map[string]int `json:"granted"`
+	// Refused counts refusals by reason.
+	Refused struct {
+		Deadline   int `json:"deadline"`
+		Full       int `json:"full"`
+		NoUpstream int `json:"no_upstream"`
+	} `json:"refused"`
+	Withdrawn int `json:"withdrawn"`
+	// LowestTier is the last word on the lowest tier that is admitted.
+	LowestTier int              `json:"lowest_tier"`
+	Status     scheduler.Status `json:"status"`
+}
+
+// RunRecord feeds the scheduler messages of a flight record to schedulers.
+func RunRecord(records []recorder.Record) (results []RecordResult, err error) {
+	states := map[string]*scheduler.State{}
+	var shards []string
+	sums := map[string]*RecordResult{}
+	for _, r := range records {
+		if r.Package != scheduler.Package {
+			continue
+		}
+		if states[r.Shard] == nil {
+			states[r.Shard] = &scheduler.State{}
+			sums[r.Shard] = &RecordResult{Shard: r.Shard, Granted: map[string]int{}}
+			shards = append(shards, r.Shard)
+		}
+		m, err := scheduler.Parse(r.Kind, r.Message)
+		if err != nil {
+			return nil, fmt.Errorf("replay record %d: %w", r.Number, err)
+		}
+		sums[r.Shard].add(states[r.Shard].Update(r.AtMS, m))
+	}
+	for _, shard := range shards {
+		sums[shard].Status = states[shard].Status()
+		results = append(results, *sums[shard])
+	}
+	return results, nil
+}
+
+func (s *RecordResult) add(effects []scheduler.Effect) {
+	s.Messages++
+	for _, e := range effects {
+		switch e := e.(type) {
+		case scheduler.Grant:
+			s.Granted[e.Upstream]++
+		case scheduler.Refuse:
+			s.refuse(e.Reason)
+		case scheduler.Withdraw:
+			s.Withdrawn++
+		case scheduler.LowestTier:
+			s.LowestTier = e.Lowest
+		}
+	}
+}
+
+func (s *RecordResult) refuse(reason scheduler.Reason) {
+	switch reason {
+	case scheduler.ReasonDeadline:
+		s.Refused.Deadline++
+	case scheduler.ReasonFull:
+		s.Refused.Full++
+	case scheduler.ReasonNoUpstream:
+		s.Refused.NoUpstream++
+	}
+}
--- a/replayer/runner/runner.go
+++ b/replayer/runner/runner.go
@@ -159,9 +159,8 @@
 	if e.dead {
 		return
 	}
-	load := scheduler.Load{
-		Upstream: e.Name, Time: r.millis(), Running: e.Running(), Waiting: e.Waiting(), Version: "v1",
-	}
+	load := scheduler.Load{Upstream: e.Name, Time: r.millis(), Version: "v1"}
+	load.Running, load.Waiting = e.Load()
 	r.agenda.add(r.now+float64(r.trace.Head.ReportAgeMS), func() {
 		r.apply(e.shard, e.shard.policy.Report(r.millis(), load))
 	})
