--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 LDFLAGS := -X main.version=$(VERSION)
 
-.PHONY: build demo test lint format check-format generate
+.PHONY: build demo measure test lint format check-format generate
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/yuccaspread ./daemon
@@ -18,6 +18,9 @@
 test:
 	go test -race -count=1 $(PACKAGES)
 
+measure: build
+	@scripts/measure_path
+
 lint:
 	for module in $(MODULES); do (cd $$module && golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/standin/answerer"
+	"yuccaspread/standin/generator"
+	"yuccaspread/standin/lister"
+	"yuccaspread/standin/storer"
+)
+
+// stopTimeout bounds the wait for calls in progress at a planned stop.
+const stopTimeout = 10 * clock.Second
+
+// routers returns the handler of each listening address.
+func routers(s settings) map[string]http.Handler {
+	all := map[string]http.Handler{}
+	if s.Platform.Listen != "" {
+		router := mux.NewRouter()
+		(&storer.Storer{}).Register(router)
+		(&lister.Lister{}).Register(router)
+		all[s.Platform.Listen] = router
+	}
+	for _, e := range s.Engines {
+		router := mux.NewRouter()
+		engine := &generator.Generator{
+			Name: e.Name, Version: e.Version, Slots: e.Slots,
+			PrefillTokensPerSecond: e.PrefillTokensPerSecond,
+			TokenGap:               e.TokenGapMS, GapPerRequest: e.GapPerRequestMS,
+			CacheBlocks: e.CacheBlocks, ReportEvery: e.ReportEveryMS, LoseEvery: e.LoseEvery,
+		}
+		engine.Register(router)
+		all[e.Listen] = router
+	}
+	for _, v := range s.Services {
+		router := mux.NewRouter()
+		(&answerer.Answerer{Name: v.Name, Delay: v.DelayMS}).Register(router)
+		all[v.Listen] = router
+	}
+	return all
+}
+
+// serveAll serves until ctx ends, then waits for the calls in progress.
+func serveAll(ctx context.Context, routers map[string]http.Handler) (err error) {
+	var servers []*http.Server
+	var wait sync.WaitGroup
+	failed := make(chan error, len(routers))
+	for address, router := range routers {
+		var config net.ListenConfig
+		socket, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		server := &http.Server{Handler: router, ReadHeaderTimeout: stopTimeout.Duration()}
+		servers = append(servers, server)
+		wait.Go(func() { failed <- server.Serve(socket) })
+	}
+	klog.InfoS("serving", "listeners", len(servers))
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
+	defer cancel()
+	for _, server := range servers {
+		err = errors.Join(err, server.Shutdown(stop))
+	}
+	wait.Wait()
+	return err
+}
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -11,6 +11,19 @@
 	Engines  []engineSettings  `toml:"engines" validate:"dive"`
 	Services []serviceSettings `toml:"services" validate:"dive"`
 	Callers  callerSettings    `toml:"callers"`
+	Meter    meterSettings     `toml:"meter"`
+}
+
+// meterSettings are used by the measure command alone.
+type meterSettings struct {
+	// Direct and Through are the base URLs of an upstream and of a daemon.
+	Direct   string `toml:"direct" validate:"omitempty,url"`
+	Through  string `toml:"through" validate:"omitempty,url"`
+	Path     string `toml:"path"`
+	Body     string `toml:"body"`
+	Token    string `toml:"token"`
+	Requests int    `toml:"requests" validate:"gte=0"`
+	Parallel int    `toml:"parallel" validate:"gte=0"`
 }
 
 // callerSettings are used by the call command alone.
