--- a/common/inventory/delta.go
+++ b/common/inventory/delta.go
@@ -53,6 +53,30 @@
 	Set []Entry `json:"set,omitempty"`
 	// Remove removes entries; it names none that Set names.
 	Remove []Key `json:"remove,omitempty"`
+	// Replaced are the entries as they stood before the change: those of Set
+	// that were there and all of Remove. It is filled in on acceptance.
+	Replaced []Entry `json:"replaced,omitempty"`
+}
+
+// Keys returns the keys of all entries that d touches.
+func (d Delta) Keys() []Key {
+	keys := slices.Clone(d.Remove)
+	for _, e := range d.Set {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
+// Same tells whether both ask for the same, whoever asks.
+func (d Delta) Same(other Delta) bool {
+	return slices.EqualFunc(d.Set, other.Set, func(a, b Entry) bool {
+		return a.Key == b.Key && sameJSON(a.Value, b.Value)
+	}) && slices.Equal(d.Remove, other.Remove)
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
 }
 
 // Apply returns the configuration that d leads to. The receiver is unchanged
--- /dev/null
+++ b/common/inventory/form.go
@@ -0,0 +1,61 @@
+package inventory
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+)
+
+// maxChangeID bounds the length of a change id in bytes.
+const maxChangeID = 128
+
+// CheckForm returns every mistake in the form of a proposed change: fields
+// that no entry has, entries named twice, a change without an id. Followers
+// of accepted changes don't ask it, so that newer daemons may add fields.
+func (d Delta) CheckForm() (mistakes []error) {
+	if d.ChangeID == "" || len(d.ChangeID) > maxChangeID {
+		mistakes = append(mistakes, Mistake{Field: "change_id", Problem: "must have 1 to 128 bytes"})
+	}
+	if d.Empty() {
+		mistakes = append(mistakes, Mistake{Field: "set", Problem: "the change changes nothing"})
+	}
+	seen := map[Key]bool{}
+	for _, key := range d.Keys() {
+		if seen[key] {
+			mistakes = append(mistakes, Mistake{key, "", "is named twice in the change"})
+		}
+		if key.Kind == LimitsKind && key.Name != "" {
+			mistakes = append(mistakes, Mistake{key, "name", "must be empty"})
+		}
+		seen[key] = true
+	}
+	for _, e := range d.Set {
+		if err := strict(e); err != nil {
+			mistakes = append(mistakes, Mistake{e.Key, "", err.Error()})
+		}
+	}
+	return mistakes
+}
+
+// strict decodes the entry's value and allows no unknown field.
+func strict(e Entry) error {
+	targets := map[Kind]any{
+		RegionKind: &Region{}, PoolKindEntry: &Pool{}, UpstreamKind: &Upstream{},
+		OrganisationKind: &Organisation{}, OperatorKind: &Operator{},
+		TierKind: &Tier{}, RouteKind: &Route{}, MoveKind: &Move{}, LimitsKind: &Limits{},
+	}
+	target, found := targets[e.Kind]
+	if !found {
+		return errors.New("is of an unknown kind")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(e.Value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("holds more than one value")
+	}
+	return nil
+}
--- a/common/inventory/rows.go
+++ b/common/inventory/rows.go
@@ -19,6 +19,8 @@
 	Revision int64 `json:"revision"`
 	// Snapshot is the newest revision with a snapshot, 0 for none.
 	Snapshot int64 `json:"snapshot"`
+	// Older is the snapshot before that one, which is still kept; 0 for none.
+	Older int64 `json:"older,omitempty"`
 }
 
 // RevisionKey returns the key of the row whose delta led to the revision.
