Configuration in force everywhere; administration by role and scope

Cause: daemons polled alone, a lost reply stayed open, a restarted daemon was ready with whatever the table said, and any operator could change anything.

--- a/daemon/administrator/administrator.go
+++ b/daemon/administrator/administrator.go
@@ -2,86 +2,162 @@
 package administrator
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strings"
+	"sync"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
 
+	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/configurer"
 	"yuccaspread/daemon/refuser"
 )
 
-// maxBodyBytes bounds a change.
-const maxBodyBytes = 32 << 20
+// Bounds of the API.
+const (
+	// maxBodyBytes bounds a change.
+	maxBodyBytes = 32 << 20
+	// callsPerSecond and callBurst bound the calls of one operator.
+	callsPerSecond = 20
+	callBurst      = 60
+	// badTokensPerSecond and badTokenBurst bound the calls with a token that
+	// nobody has, from anywhere.
+	badTokensPerSecond = 5
+	badTokenBurst      = 20
+	// limitedRetry tells callers over their limit when to try again.
+	limitedRetry = 1 * clock.Second
+)
 
 // Administrator serves /v1/admin. Its exported fields are set before Register.
 type Administrator struct {
 	Configurer *configurer.Configurer
+	Clock      clock.Clock
+	// Daemon is the name of this daemon in audit entries.
+	Daemon string
 	// BootstrapTokenSHA256 is the hash of a token that works while the
 	// inventory holds no operator; empty for none.
 	BootstrapTokenSHA256 string
+	// Stop begins a planned stop of this daemon; nil refuses it.
+	Stop func()
+
+	once sync.Once
+	// strangers bounds calls without a known token.
+	strangers *rate.Limiter
+	// mu guards limits.
+	mu sync.Mutex
+	// limits bounds the calls of each operator by name.
+	limits map[string]*rate.Limiter
 }
 
+// handler answers a call of a known operator.
+type handler func(w http.ResponseWriter, r *http.Request, operator inventory.Operator)
+
 // Register adds the handlers to router.
 func (a *Administrator) Register(router *mux.Router) {
 	admin := router.PathPrefix("/v1/admin").Subrouter()
-	admin.HandleFunc("/config", a.guard(a.getConfig)).Methods(http.MethodGet)
-	admin.HandleFunc("/config", a.guard(a.postConfig)).Methods(http.MethodPost)
+	get := func(path string, next handler) {
+		admin.HandleFunc(path, a.guard(inventory.RoleViewer, next)).Methods(http.MethodGet)
+	}
+	post := func(path string, next handler) {
+		admin.HandleFunc(path, a.guard(inventory.RoleOperator, next)).Methods(http.MethodPost)
+	}
+	get("/config", a.getConfig)
+	post("/config", a.postConfig)
+	get("/history", a.getHistory)
+	post("/undo", a.postUndo)
+	get("/status", a.getStatus)
+	get("/audit", a.getAudit)
+	post("/drain", a.postDrain)
 }
 
-// guard admits known operators only.
-func (a *Administrator) guard(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
+// guard admits operators with the role, within their rate.
+func (a *Administrator) guard(role inventory.Role, next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		name, found := a.operator(r)
-		if !found {
-			refuser.New(http.StatusUnauthorized, "unknown operator", "send an operator's token as a bearer token").Write(w)
+		operator, refusal := a.admit(r, role)
+		if refusal != nil {
+			refusal.Write(w)
 			return
 		}
-		next(w, r, name)
+		next(w, r, operator)
 	}
 }
 
-func (a *Administrator) operator(r *http.Request) (name string, found bool) {
-	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	sum := sha256.Sum256([]byte(token))
-	hash := hex.EncodeToString(sum[:])
-	operators := a.Configurer.Current().Operators
-	for _, o := range operators {
-		if o.TokenSHA256 == hash {
-			return o.Name, true
+func (a *Administrator) admit(r *http.Request, role inventory.Role) (operator inventory.Operator, refusal *refuser.Refusal) {
+	token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	operator, found := identify(a.Configurer.Current(), a.BootstrapTokenSHA256, token)
+	switch {
+	case !bearer || !found:
+		if !a.limiter("").Allow() {
+			return operator, limited()
 		}
+		return operator, refuser.New(http.StatusUnauthorized, "unknown operator", "send an operator's token as a bearer token")
+	case !a.limiter(operator.Name).Allow():
+		return operator, limited()
+	case !may(operator, role):
+		return operator, forbidden("this takes the role " + string(role))
 	}
-	return "bootstrap", len(operators) == 0 && a.BootstrapTokenSHA256 == hash
+	return operator, nil
+}
+
+func limited() *refuser.Refusal {
+	refusal := refuser.New(http.StatusTooManyRequests, "too many calls", "the rate limit of the administration API is reached")
+	refusal.RetryAfter = limitedRetry
+	return refusal
 }
 
-func (a *Administrator) getConfig(w http.ResponseWriter, _ *http.Request, _ string) {
+func forbidden(detail string) *refuser.Refusal {
+	return refuser.New(http.StatusForbidden, "not allowed", detail)
+}
+
+// limiter returns the limiter of an operator, or of all strangers for the
+// empty name.
+func (a *Administrator) limiter(name string) *rate.Limiter {
+	a.once.Do(func() {
+		a.strangers = rate.NewLimiter(badTokensPerSecond, badTokenBurst)
+		a.limits = map[string]*rate.Limiter{}
+	})
+	if name == "" {
+		return a.strangers
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limiter, found := a.limits[name]
+	if !found {
+		limiter = rate.NewLimiter(callsPerSecond, callBurst)
+		a.limits[name] = limiter
+	}
+	return limiter
+}
+
+func reply(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(a.Configurer.Current())
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
 }
 
-func (a *Administrator) postConfig(w http.ResponseWriter, r *http.Request, author string) {
-	var delta inventory.Delta
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&delta)
-	if err != nil {
-		refuser.New(http.StatusBadRequest, "bad change", err.Error()).Write(w)
+// postDrain begins a planned stop of this daemon and answers at once.
+func (a *Administrator) postDrain(w http.ResponseWriter, r *http.Request, operator inventory.Operator) {
+	if scoped(operator) {
+		forbidden("draining is for operators of all organisations").Write(w)
 		return
 	}
-	delta.Author = author
-	revision, err := a.Configurer.Commit(r.Context(), delta)
-	switch {
-	case errors.Is(err, configurer.ErrConflict):
-		refuser.New(http.StatusPreconditionFailed, "conflict", err.Error()).Write(w)
-	case err != nil:
-		refuser.NewUnknown(http.StatusBadGateway, "not committed", err.Error()).Write(w)
-	default:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(struct {
-			Revision int64 `json:"revision"`
-		}{revision})
+	if a.Stop == nil {
+		refuser.New(http.StatusNotImplemented, "no drain", "this daemon cannot stop itself").Write(w)
+		return
+	}
+	entry := configurer.AuditEntry{
+		Time: a.Clock.Now(), Operator: operator.Name, Action: configurer.ActionDrain, Daemon: a.Daemon,
 	}
+	// The stop goes on without the entry: a table that is down must not keep a
+	// VM from being taken away.
+	noted := a.Configurer.Note(context.WithoutCancel(r.Context()), entry) == nil
+	reply(w, http.StatusAccepted, struct {
+		Daemon  string `json:"daemon"`
+		Audited bool   `json:"audited"`
+	}{a.Daemon, noted})
+	a.Stop()
 }
--- /dev/null
+++ b/daemon/configurer/exchanger.go
@@ -0,0 +1,211 @@
+package configurer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
+)
+
+// Bounds of the calls between daemons.
+const (
+	askTimeout   = 1 * clock.Second
+	fetchTimeout = 10 * clock.Second
+	// parallelPushes bounds the daemons that a change is pushed to at once.
+	parallelPushes = 32
+	// pieceBytes is the size of a piece of a fetched document.
+	pieceBytes = 256 << 10
+	// settleInterval is the time between two looks whether others were found.
+	settleInterval = 50 * clock.Millisecond
+)
+
+// Membership is what Exchanger needs of a gossiper.Gossiper.
+type Membership interface {
+	gossiper.View
+	// Settled tells whether other daemons were found or none is there.
+	Settled() bool
+}
+
+// Exchanger is the Peers over drpc. Its exported fields are set before use.
+type Exchanger struct {
+	Members   Membership
+	Connector *connector.Connector
+}
+
+// Await implements Peers.
+func (x *Exchanger) Await(ctx context.Context) {
+	for !x.Members.Settled() {
+		select {
+		case <-time.After(settleInterval.Duration()):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// List implements Peers.
+func (x *Exchanger) List() (peers []Peer) {
+	self := x.Members.Self()
+	for _, m := range x.Members.Members() {
+		if m.Name != self.Name {
+			peers = append(peers, Peer{Name: m.Name, Region: m.Region, Address: m.PeerListen, Revision: m.Revision})
+		}
+	}
+	slices.SortStableFunc(peers, func(a, b Peer) int {
+		switch {
+		case a.Region == b.Region:
+			return 0
+		case a.Region == self.Region:
+			return -1
+		case b.Region == self.Region:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return peers
+}
+
+// Ask implements Peers.
+func (x *Exchanger) Ask(ctx context.Context, peer Peer) (told Told, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	conn := x.Connector.Call(ctx, peer.Address)
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.NewDRPCConfigurationClient(conn).Revision(ctx, &wire.RevisionRequest{})
+	if err != nil {
+		return told, err
+	}
+	return Told{Revision: reply.GetRevision(), Ready: reply.GetReady()}, nil
+}
+
+// PushAll implements Peers. A push that is lost is made up for by the poll.
+func (x *Exchanger) PushAll(ctx context.Context, revision int64, delta inventory.Delta) {
+	delta.Replaced = nil
+	content, err := json.Marshal(delta)
+	if err != nil {
+		klog.ErrorS(err, "change not pushed", "revision", revision)
+		return
+	}
+	slots := make(chan struct{}, parallelPushes)
+	var wait sync.WaitGroup
+	for _, peer := range x.List() {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			if err := x.push(ctx, peer, &wire.PushRequest{Revision: revision, Delta: content}); err != nil {
+				klog.V(1).InfoS("change not pushed", "revision", revision, "daemon", peer.Name, "err", err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func (x *Exchanger) push(ctx context.Context, peer Peer, req *wire.PushRequest) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	conn := x.Connector.Call(ctx, peer.Address)
+	defer func() { _ = conn.Close() }()
+	_, err = wire.NewDRPCConfigurationClient(conn).Push(ctx, req)
+	return err
+}
+
+// Fetch implements Peers.
+func (x *Exchanger) Fetch(ctx context.Context, peer Peer, after int64) (deltas []inventory.Delta, whole *inventory.Config, err error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancel()
+	conn, err := x.Connector.Stream(ctx, peer.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := wire.NewDRPCConfigurationClient(conn).Fetch(ctx, &wire.FetchRequest{After: after})
+	if err != nil {
+		return nil, nil, err
+	}
+	var content []byte
+	isWhole := false
+	for {
+		piece, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+		isWhole = piece.GetWhole()
+		content = append(content, piece.GetContent()...)
+	}
+	if isWhole {
+		whole, err = unpack[*inventory.Config](content)
+		return nil, whole, err
+	}
+	deltas, err = unpack[[]inventory.Delta](content)
+	return deltas, nil, err
+}
+
+// Server answers other daemons. Its exported fields are set before Register.
+type Server struct {
+	Configurer *Configurer
+}
+
+// Register adds the service to mux.
+func (s *Server) Register(mux drpc.Mux) error {
+	return wire.DRPCRegisterConfiguration(mux, s)
+}
+
+// Push implements wire.DRPCConfigurationServer.
+func (s *Server) Push(_ context.Context, in *wire.PushRequest) (out *wire.RevisionReply, err error) {
+	var delta inventory.Delta
+	if err = json.Unmarshal(in.GetDelta(), &delta); err != nil {
+		return nil, err
+	}
+	missing, err := s.Configurer.Take(in.GetRevision(), delta)
+	if err != nil {
+		return nil, err
+	}
+	if missing {
+		s.Configurer.pollSoon()
+	}
+	return s.reply(), nil
+}
+
+// Revision implements wire.DRPCConfigurationServer.
+func (s *Server) Revision(context.Context, *wire.RevisionRequest) (out *wire.RevisionReply, err error) {
+	return s.reply(), nil
+}
+
+func (s *Server) reply() *wire.RevisionReply {
+	return &wire.RevisionReply{Revision: s.Configurer.Current().Revision, Ready: s.Configurer.Ready()}
+}
+
+// Fetch implements wire.DRPCConfigurationServer.
+func (s *Server) Fetch(in *wire.FetchRequest, stream wire.DRPCConfiguration_FetchStream) (err error) {
+	deltas, all := s.Configurer.Since(in.GetAfter())
+	var value any = deltas
+	if !all {
+		value = s.Configurer.Current()
+	}
+	content, err := pack(value)
+	if err != nil {
+		return err
+	}
+	for piece := range slices.Chunk(content, pieceBytes) {
+		if err = stream.Send(&wire.FetchPiece{Whole: !all, Content: piece}); err != nil {
+			return err
+		}
+	}
+	return stream.CloseSend()
+}
--- a/daemon/duty_configuration.go
+++ b/daemon/duty_configuration.go
@@ -1,22 +1,49 @@
 package main
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/platform"
 	"yuccaspread/daemon/configurer"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
 )
 
+type configurerNeeds struct {
+	fx.In
+
+	Settings   settings
+	Client     platform.Client
+	Clock      clock.Clock
+	Gossiper   *gossiper.Gossiper
+	Connector  *connector.Connector
+	Registerer prometheus.Registerer `optional:"true"`
+}
+
+type configurerOut struct {
+	fx.Out
+
+	Configurer *configurer.Configurer
+	Source     inventory.Source
+	Service    peerService `group:"peer_services"`
+}
+
 func configurationDuty() fx.Option {
 	return fx.Module("configuration",
-		fx.Provide(
-			func(client platform.Client, c clock.Clock) *configurer.Configurer {
-				return &configurer.Configurer{Table: client.Table, Clock: c}
-			},
-			func(c *configurer.Configurer) inventory.Source { return c },
-		),
+		fx.Provide(newConfigurer),
 		fx.Invoke(func(l fx.Lifecycle, c *configurer.Configurer) { runDuty(l, c.Run) }),
 	)
 }
+
+func newConfigurer(n configurerNeeds) configurerOut {
+	c := &configurer.Configurer{
+		Table: n.Client.Table, Objects: n.Client.ObjectStore,
+		Peers: &configurer.Exchanger{Members: n.Gossiper, Connector: n.Connector},
+		Clock: n.Clock, Daemon: n.Settings.Name, Registerer: n.Registerer,
+	}
+	server := &configurer.Server{Configurer: c}
+	return configurerOut{Configurer: c, Source: c, Service: server.Register}
+}
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -25,9 +25,7 @@
 func ingressDuty() fx.Option {
 	return fx.Module("ingress",
 		fx.Provide(
-			func(s settings, c *configurer.Configurer) *administrator.Administrator {
-				return &administrator.Administrator{Configurer: c, BootstrapTokenSHA256: s.BootstrapTokenSHA256}
-			},
+			newAdministrator,
 			func(g *gossiper.Gossiper, source inventory.Source) *resolver.Resolver {
 				return &resolver.Resolver{Source: source, Members: g}
 			},
@@ -41,6 +39,17 @@
 	)
 }
 
+func newAdministrator(s settings, c *configurer.Configurer, now clock.Clock, stopper fx.Shutdowner) *administrator.Administrator {
+	return &administrator.Administrator{
+		Configurer: c, Clock: now, Daemon: s.Name, BootstrapTokenSHA256: s.BootstrapTokenSHA256,
+		Stop: func() {
+			if err := stopper.Shutdown(); err != nil {
+				klog.ErrorS(err, "planned stop not begun")
+			}
+		},
+	}
+}
+
 func newDrainer(c clock.Clock, g *gossiper.Gossiper, source inventory.Source) *drainer.Drainer {
 	return &drainer.Drainer{
 		Clock: c, Leave: g.Leave,
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -23,6 +23,9 @@
 	reachTimeout = 1500 * clock.Millisecond
 	// seedInterval is the time between two looks for seeds.
 	seedInterval = 10 * clock.Second
+	// settleTime is how long other daemons are looked for at the start before
+	// this one takes itself for alone.
+	settleTime = 2 * clock.Second
 	// stopTimeout bounds the farewell at the stop.
 	stopTimeout = 1 * clock.Second
 )
@@ -101,6 +104,16 @@
 	return g.core.Proved()
 }
 
+// Settled tells whether another daemon was found, or was looked for long
+// enough.
+func (g *Gossiper) Settled() bool {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, found := g.core.Proved()
+	return found || g.Clock.Now()-g.core.started >= settleTime
+}
+
 // Leave tells the others that this daemon is about to stop.
 func (g *Gossiper) Leave(ctx context.Context) {
 	g.do(ctx, Leave{})
