Configurer test: the fake membership tells revisions as the real one does

Cause: TestOlderStateOfTheTableNeverComesInForce failed once on a busy machine: the poll ran before the push, and the fake membership told no revision. Change: the fake lists the revisions of its members; the check is the same. Conclusion: the verdict no longer hangs on the order of a push and a poll.

--- a/daemon/configurer/fake_test.go
+++ b/daemon/configurer/fake_test.go
@@ -140,8 +140,8 @@
 func (p *peers) Await(context.Context) {}
 
 func (p *peers) List() (list []configurer.Peer) {
-	for i := range p.others {
-		list = append(list, configurer.Peer{Name: fmt.Sprint(i), Address: fmt.Sprint(i)})
+	for i, other := range p.others {
+		list = append(list, configurer.Peer{Name: fmt.Sprint(i), Address: fmt.Sprint(i), Revision: other.Current().Revision})
 	}
 	return list
 }
