Capacity: fit slopes through benchmarks and write the page's tables

Cause: the capacity page has to be worked out from measured slopes and reproduced by one command. Conclusion: the plan and the page follow once the duties have benchmarks.

--- a/replayer/main.go
+++ b/replayer/main.go
@@ -23,6 +23,7 @@
 	out      string
 	file     string
 	policy   string
+	plan     string
 	json     bool
 	seeds    int
 }
@@ -67,7 +68,13 @@
 	measure.String(&a.scenario, "", "scenario", "One scenario; all without it.")
 	measure.Int(&a.seeds, "", "seeds", "The number of seeds.")
 
-	for _, sub := range []*flaggy.Subcommand{generate, replay, compare, report, measure} {
+	capacity := flaggy.NewSubcommand("capacity")
+	capacity.Description = "Writes the tables of the capacity page from the output of benchmarks."
+	capacity.AddPositionalValue(&a.file, "FILE", 1, true, "The output of the benchmarks.")
+	capacity.String(&a.plan, "", "plan", "The TOML file that names the slopes.")
+	capacity.String(&a.out, "", "page", "The page whose tables are replaced.")
+
+	for _, sub := range []*flaggy.Subcommand{generate, replay, compare, report, measure, capacity} {
 		flaggy.AttachSubcommand(sub, 1)
 	}
 	flaggy.Parse()
@@ -82,6 +89,8 @@
 		return a.report()
 	case measure.Used:
 		return a.measure()
+	case capacity.Used:
+		return a.capacity()
 	default:
 		return errors.New("name a command; --help lists them")
 	}
