--- a/daemon/judge/counts.go
+++ b/daemon/judge/counts.go
@@ -50,24 +50,26 @@
 
 // upper returns the lowest bucket from which on at most share of the values lie.
 func (h *Histogram) upper(share float64) int {
-	total := float64(h.Total())
-	for b := range Buckets {
-		if float64(h.Above(b)) <= share*total {
-			return b
+	bound := share * float64(h.Total())
+	above := 0
+	for b := Buckets - 1; b >= 0; b-- {
+		if above += int(h[b]); float64(above) > bound {
+			return b + 1
 		}
 	}
-	return Buckets
+	return 0
 }
 
 // lower returns the highest bucket below which at most share of the values lie.
 func (h *Histogram) lower(share float64) int {
-	total := h.Total()
-	for b := Buckets; b > 0; b-- {
-		if float64(total-h.Above(b)) <= share*float64(total) {
+	bound := share * float64(h.Total())
+	below := 0
+	for b, c := range h {
+		if below += int(c); float64(below) > bound {
 			return b
 		}
 	}
-	return 0
+	return Buckets
 }
 
 // Key names what a group of requests has in common.
@@ -75,10 +77,15 @@
 	Version    string `json:"version"`
 	Route      string `json:"route"`
 	Generation string `json:"generation"`
-	// Loaded tells that the upstream had at least half of its slots in use.
-	// Light and heavy load are compared apart, so that an unequal load looks
-	// like no difference of the versions.
-	Loaded bool `json:"loaded"`
+	// Load is the part of the upstream's slots in use, in quarters from 0 to 3.
+	// Each is compared apart, so that an unequal load looks like no difference
+	// of the versions.
+	Load uint8 `json:"load"`
+}
+
+// Quarter returns the Load of an upstream that runs that many requests.
+func Quarter(running, slots int) uint8 {
+	return uint8(min(max(4*running/max(slots, 1), 0), 3))
 }
 
 // Counts is what was seen of the requests of a Key.
--- a/daemon/judge/judge.go
+++ b/daemon/judge/judge.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -23,23 +25,42 @@
 // Limits of the tests.
 const (
 	// slowShare and shortShare are the shares of the old version's answers
-	// that count as slow and as short.
+	// that bound the slow and the short ones.
 	slowShare  = 0.1
 	shortShare = 0.05
+	// slowBuckets is how many buckets beyond that bound an answer is slow: one
+	// is a factor of the square root of two, which an unequal load explains.
+	slowBuckets = 1
 	// quantileRequests is the history needed before a quantile is used.
 	quantileRequests = 50
-	// tolerance is how many times the old rate a good version may show when
-	// both run at the same time, historyTolerance when the old one ran before.
-	tolerance        = 1.5
-	historyTolerance = 2.5
 )
 
-// Cell is a group in which the two versions are compared; the zero value is
-// the one of all requests.
+// Cell is a set of requests about which the judge decides: all of them, those of
+// a route, of a generation or of a load. The zero value is all.
 type Cell struct {
 	Route      string `json:"route,omitempty"`
 	Generation string `json:"generation,omitempty"`
-	Loaded     bool   `json:"loaded,omitempty"`
+	// Load is the load's quarter plus 1, 0 for any.
+	Load uint8 `json:"load,omitempty"`
+}
+
+// String says in words which requests these are.
+func (c Cell) String() string {
+	switch {
+	case c.Route != "":
+		return "on route " + c.Route
+	case c.Generation != "":
+		return "on generation " + c.Generation
+	case c.Load > 0:
+		return fmt.Sprintf("with up to %d of 4 slots in use", c.Load)
+	default:
+		return "in all"
+	}
+}
+
+// cellsOf returns the cells that a key is part of.
+func cellsOf(key Key) [4]Cell {
+	return [4]Cell{{}, {Route: key.Route}, {Generation: key.Generation}, {Load: key.Load + 1}}
 }
 
 // Verdict is what the judge says.
@@ -65,30 +86,39 @@
 	// called bad, over all cells, tests and looks; above 0 and below 1.
 	Error float64
 
+	// strata compares like with like, cells add up what the strata show.
+	strata  map[Key]*stratum
 	cells   map[Cell]*cell
 	verdict Verdict
 	total   Window
 }
 
-// cell is the state of one comparison.
+// stratum holds the old version's history of a route, generation and load.
+type stratum struct{ old Counts }
+
+// cell is the state of one decision.
 type cell struct {
 	// bound is the value at which a test's evidence suffices.
 	bound float64
-	// old is all that was seen of the old version, fresh of the new one.
-	old   Counts
-	fresh Counts
 	tests [len(tests)]process
+	// fresh counts the new version's requests and events by test.
+	fresh [len(tests)]group
 }
 
 // Observe adds a window and returns the verdict so far.
 func (j *Judge) Observe(window Window) Verdict {
 	if j.cells == nil {
+		j.strata = map[Key]*stratum{}
 		j.cells = map[Cell]*cell{}
 		j.total = Window{}
 	}
 	j.total.Merge(window)
-	for _, pair := range j.pairs(window) {
-		j.observe(pair)
+	sums := map[Cell]*sum{}
+	for _, key := range j.keys(window) {
+		j.add(sums, key, window)
+	}
+	for _, at := range sortedCells(sums) {
+		j.settle(at, sums[at])
 	}
 	return j.verdict
 }
@@ -99,73 +129,104 @@
 // Total returns all counts since the start; the caller changes nothing in it.
 func (j *Judge) Total() Window { return j.total }
 
-// pair is what a window holds of a cell.
-type pair struct {
-	cell       Cell
-	old, fresh Counts
+// Suspicion returns the strongest evidence at present, as a part of what makes
+// the version bad.
+func (j *Judge) Suspicion() (most float64) {
+	for _, c := range j.cells {
+		for i := range c.tests {
+			most = max(most, c.tests[i].value()/c.bound)
+		}
+	}
+	return most
+}
+
+// sum is what a window shows of a cell.
+type sum struct {
+	gains [len(tests)]gains
+	fresh [len(tests)]group
 }
 
-// pairs groups a window by cells, that of all requests first, the others in
-// order, so that the same windows always lead to the same verdict.
-func (j *Judge) pairs(window Window) []*pair {
-	found := map[Cell]*pair{}
-	for key, counts := range window {
+// keys returns the strata of the window, without version and in order, so that
+// the same windows always lead to the same verdict.
+func (j *Judge) keys(window Window) (keys []Key) {
+	for key := range window {
 		if key.Version != j.From && key.Version != j.To {
 			continue
 		}
-		for _, at := range []Cell{{}, {Route: key.Route, Generation: key.Generation, Loaded: key.Loaded}} {
-			p := found[at]
-			if p == nil {
-				p = &pair{cell: at}
-				found[at] = p
-			}
-			if key.Version == j.To {
-				p.fresh.Merge(counts)
-				continue
-			}
-			p.old.Merge(counts)
-		}
-	}
-	list := make([]*pair, 0, len(found))
-	for _, p := range found {
-		list = append(list, p)
+		key.Version = ""
+		keys = append(keys, key)
 	}
-	slices.SortFunc(list, func(a, b *pair) int { return compareCells(a.cell, b.cell) })
-	return list
+	slices.SortFunc(keys, compareKeys)
+	return slices.Compact(keys)
 }
 
-func compareCells(a, b Cell) int {
-	return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Generation, b.Generation), cmp.Compare(number(a.Loaded), number(b.Loaded)))
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Load, b.Load))
 }
 
-func number(b bool) int {
-	if b {
-		return 1
+func sortedCells(sums map[Cell]*sum) []Cell {
+	return slices.SortedFunc(maps.Keys(sums), func(a, b Cell) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Load, b.Load))
+	})
+}
+
+// add compares the versions in one stratum and adds the result to its cells.
+func (j *Judge) add(sums map[Cell]*sum, key Key, window Window) {
+	s := j.strata[key]
+	if s == nil {
+		s = &stratum{}
+		j.strata[key] = s
+	}
+	side := func(version string) *Counts {
+		key.Version = version
+		if counts, found := window[key]; found {
+			return counts
+		}
+		return &Counts{}
 	}
-	return 0
+	old, fresh := side(j.From), side(j.To)
+	for i, test := range tests {
+		cut, usable := s.cut(test)
+		seen := events(test, fresh, cut)
+		if !usable || seen.requests == 0 {
+			continue
+		}
+		g := compare(seen, events(test, old, cut), events(test, &s.old, cut))
+		for _, at := range cellsOf(key) {
+			if sums[at] == nil {
+				sums[at] = &sum{}
+			}
+			sums[at].gains[i].add(g)
+			sums[at].fresh[i].requests += seen.requests
+			sums[at].fresh[i].events += seen.events
+		}
+	}
+	s.old.Merge(old)
 }
 
-func (j *Judge) observe(p *pair) {
-	c := j.cells[p.cell]
+// settle takes a window's sum into a cell.
+func (j *Judge) settle(at Cell, s *sum) {
+	c := j.cells[at]
 	if c == nil {
 		c = &cell{bound: j.bound()}
-		j.cells[p.cell] = c
+		j.cells[at] = c
 	}
-	c.fresh.Merge(&p.fresh)
 	for i, test := range tests {
-		// All requests together differ in length and load, so that only what
-		// depends on neither is compared there.
-		if p.cell == (Cell{}) && test != TestFailed && test != TestEmpty {
+		if s.fresh[i].requests == 0 {
 			continue
 		}
-		cut, usable := c.cut(test)
-		if !usable {
+		c.fresh[i].requests += s.fresh[i].requests
+		c.fresh[i].events += s.fresh[i].events
+		c.tests[i].observe(s.gains[i])
+		evidence := c.tests[i].value() / c.bound
+		if j.verdict.Bad || evidence < j.verdict.Evidence {
 			continue
 		}
-		c.tests[i].observe(events(test, &p.fresh, cut), events(test, &p.old, cut), events(test, &c.old, cut), tolerance, historyTolerance)
-		j.settle(test, p.cell, c, c.tests[i].value()/c.bound, cut)
+		j.verdict = Verdict{
+			Bad: evidence >= 1, Test: test, Cell: at, Evidence: evidence,
+			Requests: c.fresh[i].requests, Events: c.fresh[i].events,
+		}
 	}
-	c.old.Merge(&p.old)
 }
 
 // bound splits the error rate: half for the cell of all requests, and the rest
@@ -180,27 +241,16 @@
 	return float64(len(tests)) / (j.Error * share)
 }
 
-func (j *Judge) settle(test Test, at Cell, c *cell, evidence float64, cut int) {
-	if j.verdict.Bad || evidence < j.verdict.Evidence {
-		return
-	}
-	seen := events(test, &c.fresh, cut)
-	j.verdict = Verdict{
-		Bad: evidence >= 1, Test: test, Cell: at, Evidence: evidence,
-		Requests: seen.requests, Events: seen.events,
-	}
-}
-
 // cut returns the bucket that separates the test's events, from what the old
 // version did before this window. It is not usable while that is too little.
-func (c *cell) cut(test Test) (bucket int, usable bool) {
+func (s *stratum) cut(test Test) (bucket int, usable bool) {
 	switch test {
 	case TestFirst:
-		return c.old.First.upper(slowShare), c.old.First.Total() >= quantileRequests
+		return s.old.First.upper(slowShare) + slowBuckets, s.old.First.Total() >= quantileRequests
 	case TestGap:
-		return c.old.Gap.upper(slowShare), c.old.Gap.Total() >= quantileRequests
+		return s.old.Gap.upper(slowShare) + slowBuckets, s.old.Gap.Total() >= quantileRequests
 	case TestShort:
-		return c.old.Length.lower(shortShare), c.old.Length.Total() >= quantileRequests
+		return s.old.Length.lower(shortShare), s.old.Length.Total() >= quantileRequests
 	case TestFailed, TestEmpty:
 	}
 	return 0, true
--- a/daemon/judge/judge_test.go
+++ b/daemon/judge/judge_test.go
@@ -24,7 +24,7 @@
 	for window := 1; window <= windows; window++ {
 		w := judge.Window{}
 		for range 40 {
-			key := judge.Key{Version: "v1", Route: []string{"a", "b", "c"}[r.IntN(3)], Generation: []string{"g4", "g5"}[r.IntN(2)], Loaded: r.IntN(2) == 0}
+			key := judge.Key{Version: "v1", Route: []string{"a", "b", "c"}[r.IntN(3)], Generation: []string{"g4", "g5"}[r.IntN(2)], Load: uint8(r.IntN(4))}
 			act := usual
 			if r.Float64() < 0.1 {
 				key.Version, act = "v2", fresh
@@ -78,7 +78,7 @@
 		},
 		"under load": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
 			s := usual(r, key, w)
-			s.Failed = s.Failed || key.Loaded && r.Float64() < 0.5
+			s.Failed = s.Failed || key.Load >= 2 && r.Float64() < 0.5
 			return s
 		},
 		"one route": func(r *rand.Rand, key judge.Key, w int) judge.Sample {
@@ -156,7 +156,7 @@
 		if windows[at] == nil {
 			windows[at] = judge.Window{}
 		}
-		key := judge.Key{Version: []string{"v1", "v2"}[r.IntN(2)], Route: []string{"a", "b", "c", "d"}[r.IntN(4)], Generation: []string{"1", "2", "3", "4", "5"}[r.IntN(5)], Loaded: r.IntN(2) == 0}
+		key := judge.Key{Version: []string{"v1", "v2"}[r.IntN(2)], Route: []string{"a", "b", "c", "d"}[r.IntN(4)], Generation: []string{"1", "2", "3", "4", "5"}[r.IntN(5)], Load: uint8(r.IntN(4))}
 		windows[at].Of(key).Add(usual(r, key, 0))
 	}
 	judges := [3]judge.Judge{}
--- a/daemon/stager/evidence.go
+++ b/daemon/stager/evidence.go
@@ -10,56 +10,68 @@
 	// of the old version's traffic.
 	routeRequests = 10
 	routeShare    = 0.05
+	// maxSuspicion holds the share while the plan has time.
+	maxSuspicion = 1e-4
 	// loadShare is how much of the old version's share of loaded requests the
 	// new one must have reached.
 	loadShare = 0.5
 )
 
-// Evidence is what is known of the versions since the present leader began.
+// Evidence is what is known of the versions since the move began, as far as
+// the daemons that saw it are still there.
 type Evidence struct {
 	// Verdict is the judge's, or that of a scheduler that stopped the version.
 	Verdict judge.Verdict
+	// Suspicion is the present evidence against the new version, as a part of
+	// what makes it bad.
+	Suspicion float64
 	// Total holds all counts.
 	Total judge.Window
 }
 
-// seen counts requests of a version by route.
-type seen struct {
-	requests, loaded int
-	routes           map[string]int
+// heavyLoad is the quarter of the slots in use from which a request counts as
+// loaded.
+const heavyLoad = 2
+
+// Seen counts requests of a version.
+type Seen struct {
+	Requests int `json:"requests"`
+	// Loaded are those that ran on an upstream with half of its slots in use.
+	Loaded int            `json:"loaded"`
+	Routes map[string]int `json:"routes,omitempty"`
 }
 
-func count(total judge.Window, version string) seen {
-	s := seen{routes: map[string]int{}}
+func count(total judge.Window, version string) Seen {
+	s := Seen{Routes: map[string]int{}}
 	for key, counts := range total {
 		if key.Version != version {
 			continue
 		}
-		s.requests += int(counts.Requests)
-		s.routes[key.Route] += int(counts.Requests)
-		if key.Loaded {
-			s.loaded += int(counts.Requests)
+		s.Requests += int(counts.Requests)
+		s.Routes[key.Route] += int(counts.Requests)
+		if key.Load >= heavyLoad {
+			s.Loaded += int(counts.Requests)
 		}
 	}
 	return s
 }
 
 // since returns what s has more than before.
-func (s seen) since(before seen) seen {
-	more := seen{requests: s.requests - before.requests, loaded: s.loaded - before.loaded, routes: map[string]int{}}
-	for route, n := range s.routes {
-		more.routes[route] = n - before.routes[route]
+func (s Seen) since(before Seen) Seen {
+	more := Seen{Requests: s.Requests - before.Requests, Loaded: s.Loaded - before.Loaded, Routes: map[string]int{}}
+	for route, n := range s.Routes {
+		more.Routes[route] = n - before.Routes[route]
 	}
 	return more
 }
 
 // enough tells whether the stage has seen every route that matters.
-func enough(fresh, old seen) bool {
-	if fresh.requests < stageRequests {
+func enough(fresh, old Seen) bool {
+	if fresh.Requests < stageRequests {
 		return false
 	}
-	for route, n := range old.routes {
-		if float64(n) >= routeShare*float64(old.requests) && fresh.routes[route] < routeRequests {
+	for route, n := range old.Routes {
+		if float64(n) >= routeShare*float64(old.Requests) && fresh.Routes[route] < routeRequests {
 			return false
 		}
 	}
@@ -68,6 +80,6 @@
 
 // loadSeen tells whether the new version has worked under a load like the old
 // one's.
-func loadSeen(fresh, old seen) bool {
-	return float64(fresh.loaded)*float64(old.requests) >= loadShare*float64(old.loaded)*float64(fresh.requests)
+func loadSeen(fresh, old Seen) bool {
+	return float64(fresh.Loaded)*float64(old.Requests) >= loadShare*float64(old.Loaded)*float64(fresh.Requests)
 }
--- a/daemon/stager/plan.go
+++ b/daemon/stager/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 )
@@ -95,10 +97,16 @@
 	return append(first, last...)
 }
 
+// mix spreads neighbours in the order of names, which often share a scheduler,
+// so that none of them has the new version alone.
+func mix(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
 func groupsOf(upstreams []Upstream) (groups []*group) {
 	sorted := slices.Clone(upstreams)
 	slices.SortFunc(sorted, func(a, b Upstream) int {
-		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Slots, b.Slots), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Generation, b.Generation), cmp.Compare(a.Slots, b.Slots), cmp.Compare(mix(a.Name), mix(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	for _, u := range sorted {
 		end := len(groups) - 1
--- a/daemon/stager/row.go
+++ b/daemon/stager/row.go
@@ -66,6 +66,9 @@
 	Cause Cause `json:"cause,omitempty"`
 	// Why says in words what the move waits for or why it was taken back.
 	Why string `json:"why"`
+	// AtOld and AtFresh are what was seen of each version when the stage began.
+	AtOld   Seen `json:"at_old"`
+	AtFresh Seen `json:"at_fresh"`
 	// Verdict is the strongest evidence so far.
 	Verdict judge.Verdict `json:"verdict"`
 	// Epoch is the fencing number of the leader that wrote the row.
--- a/daemon/stager/shares.go
+++ b/daemon/stager/shares.go
@@ -8,24 +8,25 @@
 	ready := served(in, next.To)
 	switch {
 	case next.Undone() || share <= 0:
-		return Stopped(next.From, next.To)
+		return Stopped(next.To)
 	case share >= 1 && ready < 1:
 		share = ready
 	}
-	out := scheduler.Shares{Shares: map[string]float64{next.To: share, next.From: 1 - share}}
-	// Requests that must not run twice come last.
-	if in.Row.Share >= 1 {
-		out.NonIdempotent = append(out.NonIdempotent, next.To)
-	}
+	// The old version is not named while the new one is limited: it takes all
+	// that the new one does not, also where no upstream serves the new one.
 	if share < 1 {
-		out.NonIdempotent = append(out.NonIdempotent, next.From)
+		return scheduler.Shares{Shares: map[string]float64{next.To: share}}
+	}
+	// Requests that must not run twice come to the new version last.
+	return scheduler.Shares{
+		Shares:        map[string]float64{next.To: 1, next.From: 0},
+		NonIdempotent: []string{next.To},
 	}
-	return out
 }
 
 // Stopped returns the shares that keep all traffic from the new version.
-func Stopped(from, to string) scheduler.Shares {
-	return scheduler.Shares{Shares: map[string]float64{to: 0, from: 1}, NonIdempotent: []string{from}}
+func Stopped(to string) scheduler.Shares {
+	return scheduler.Shares{Shares: map[string]float64{to: 0}}
 }
 
 // served is the part of the present slots whose upstreams report the version.
--- a/daemon/stager/stager.go
+++ b/daemon/stager/stager.go
@@ -34,10 +34,8 @@
 
 // Stager holds what one leader remembers of one move. The zero value works.
 type Stager struct {
-	// stage is the stage that began with the counts atOld and atFresh.
-	stage          int
-	atOld, atFresh seen
-	sent           map[string]sent
+	// sent are the orders whose effect is not reported yet, by upstream.
+	sent map[string]sent
 }
 
 // Step looks at the world and returns what to do. A share grows in two steps,
@@ -63,8 +61,9 @@
 
 // same tells whether two rows differ in nothing that is worth a write.
 func same(a, b Row) bool {
-	a.Epoch, a.Verdict, a.Why = b.Epoch, b.Verdict, b.Why
-	return a == b
+	return a.Move == b.Move && a.Pool == b.Pool && a.From == b.From && a.To == b.To &&
+		a.Phase == b.Phase && a.Stage == b.Stage && a.Share == b.Share && a.Cause == b.Cause &&
+		a.Started == b.Started && a.StageStarted == b.StageStarted && a.Finished == b.Finished
 }
 
 // advance returns the row that the move should have now.
@@ -101,8 +100,8 @@
 	case in.Move.State == inventory.MoveUndo:
 		return CauseOperator, "an operator asked for it"
 	case v.Bad:
-		return CauseBad, fmt.Sprintf("%s on %d of %d requests (route %q, generation %q, loaded %t)",
-			v.Test, v.Events, v.Requests, v.Cell.Route, v.Cell.Generation, v.Cell.Loaded)
+		return CauseBad, fmt.Sprintf("%s on %d of %d requests %s",
+			v.Test, v.Events, v.Requests, v.Cell)
 	default:
 		return "", ""
 	}
@@ -148,9 +147,8 @@
 	if len(names) == 0 || ready < len(names) {
 		return row
 	}
-	row.Phase, row.Stage, row.Share, row.StageStarted = PhaseStaged, 0, first, in.Now
-	row.Why = "the first stage is watched"
-	return row
+	row.Phase = PhaseStaged
+	return raise(in, row, 0, first, "the first stage is watched")
 }
 
 // grow goes to the next stage when this one has shown enough.
@@ -160,14 +158,11 @@
 		return finish(in, row)
 	}
 	old, fresh := count(in.Evidence.Total, row.From), count(in.Evidence.Total, row.To)
-	if s.stage != row.Stage {
-		s.stage, s.atOld, s.atFresh = row.Stage, old, fresh
-	}
 	if in.Move.State == inventory.MovePause {
 		row.Why = "paused by an operator"
 		return row
 	}
-	old, fresh = old.since(s.atOld), fresh.since(s.atFresh)
+	old, fresh = old.since(row.AtOld), fresh.since(row.AtFresh)
 	times := plan(in.Move, row, len(shares))
 	switch {
 	case in.Now >= in.Move.Due && row.Stage == 0 && !enough(fresh, old):
@@ -178,6 +173,9 @@
 	case in.Now < times.early:
 		row.Why = "the stage is watched for its time"
 		return row
+	case in.Now < times.late && in.Evidence.Suspicion > maxSuspicion:
+		row.Why = "something speaks against the new version, not enough to tell"
+		return row
 	case in.Now < times.late && !loadSeen(fresh, old):
 		row.Why = "no load like the old version's seen yet"
 		return row
@@ -194,6 +192,7 @@
 
 func raise(in Input, row Row, stage int, share float64, why string) Row {
 	row.Stage, row.Share, row.StageStarted, row.Why = stage, share, in.Now, why
+	row.AtOld, row.AtFresh = count(in.Evidence.Total, row.From), count(in.Evidence.Total, row.To)
 	return row
 }
 
--- a/daemon/stager/stager_test.go
+++ b/daemon/stager/stager_test.go
@@ -45,7 +45,7 @@
 func (w *world) step(old, fresh int) {
 	w.in.Now += clock.Second
 	for version, n := range map[string]int{"v1": old, "v2": fresh} {
-		w.in.Evidence.Total.Of(judge.Key{Version: version, Route: "a", Loaded: true}).Requests += uint32(n)
+		w.in.Evidence.Total.Of(judge.Key{Version: version, Route: "a", Load: 3}).Requests += uint32(n)
 	}
 	for i := range w.in.Upstreams {
 		w.in.Upstreams[i].Report.At = w.in.Now
--- /dev/null
+++ b/replayer/mover/table.go
@@ -0,0 +1,50 @@
+package mover
+
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/elector"
+	"yuccaspread/daemon/stager"
+)
+
+// table is a model of the platform's table with the rows of moves.
+type table struct {
+	version int64
+	lease   elector.Lease
+	rows    map[string]stager.Row
+	writes  int
+	epochs  map[int64]bool
+}
+
+// effect carries out a call of an elector; lost tells that its reply is lost.
+func (t *table) effect(effect elector.Effect, now clock.Millis, down, lost bool) elector.Message {
+	switch e := effect.(type) {
+	case elector.Read:
+		return elector.ReadDone{At: now, Failed: down || lost, Version: t.version, Lease: t.lease}
+	case elector.Write:
+		if down {
+			return elector.WriteDone{At: now, Unknown: true}
+		}
+		applied := e.Version == t.version
+		if applied {
+			t.writes++
+			t.version++
+			t.lease = e.Lease
+			t.epochs[e.Lease.Epoch] = true
+		}
+		if lost {
+			return elector.WriteDone{At: now, Unknown: true}
+		}
+		return elector.WriteDone{At: now, Applied: applied, Version: t.version}
+	}
+	return nil
+}
+
+// put writes a row if the lease row has the version.
+func (t *table) put(row stager.Row, lease int64) bool {
+	if lease != t.version {
+		return false
+	}
+	t.writes++
+	t.rows[row.Move] = row
+	return true
+}
