--- a/replayer/main.go
+++ b/replayer/main.go
@@ -10,6 +10,7 @@
 	"github.com/integrii/flaggy"
 
 	"yuccaspread/replayer/generator"
+	"yuccaspread/replayer/mover"
 	"yuccaspread/replayer/selector"
 )
 
@@ -49,7 +50,9 @@
 
 	replay := flaggy.NewSubcommand("run")
 	replay.Description = "Replays a trace, or a flight record of a daemon."
-	replay.AddPositionalValue(&a.file, "FILE", 1, true, "The trace or flight record.")
+	replay.AddPositionalValue(&a.file, "FILE", 1, false, "The trace or flight record.")
+	replay.String(&a.scenario, "", "scenario", fmt.Sprint("Replay a move instead, one of ", mover.Scenarios))
+	replay.UInt64(&a.seed, "", "seed", "The seed of the move.")
 	replay.String(&a.policy, "", "policy", fmt.Sprint("One of ", selector.Names()))
 	replay.Bool(&a.json, "", "json", "Print JSON.")
 
@@ -81,6 +84,10 @@
 	switch {
 	case generate.Used:
 		return a.generate()
+	case replay.Used && a.scenario != "":
+		return mover.Report(os.Stdout, a.scenario, a.seed, a.json)
+	case replay.Used && a.file == "":
+		return errors.New("name a trace or a scenario")
 	case replay.Used:
 		return a.replay()
 	case compare.Used:
--- a/replayer/mover/daemon.go
+++ b/replayer/mover/daemon.go
@@ -30,12 +30,13 @@
 	// plan is what it heard of a leader with the epoch planEpoch.
 	plan      stager.Plan
 	planEpoch int64
-	// local judges its own evidence; fresh holds it since the last look,
-	// digest since the leader of digestEpoch last took it.
-	local         *judge.Judge
-	attempt       clock.Millis
-	fresh, digest judge.Window
-	digestEpoch   int64
+	// local judges its own evidence from the collector; digest holds it since
+	// the leader of digestEpoch last took it.
+	local       *judge.Judge
+	collector   judge.Collector
+	attempt     clock.Millis
+	digest      judge.Window
+	digestEpoch int64
 	// stop is set once it stopped the version or heard of a stop.
 	stop *stager.Stop
 	// given and total count grants for the share, as the scheduler does.
@@ -81,9 +82,8 @@
 }
 
 // watch judges the evidence of the last moment; it returns a new stop.
-func (d *daemon) watch() *stager.Stop {
-	window := d.fresh
-	d.fresh = judge.Window{}
+func (d *daemon) watch(at clock.Millis) *stager.Stop {
+	window := d.collector.Take(at)
 	d.digest.Merge(window)
 	if d.local == nil || !d.plan.Watched {
 		return nil
--- a/replayer/mover/run.go
+++ b/replayer/mover/run.go
@@ -31,10 +31,11 @@
 
 // ending is a request in progress.
 type ending struct {
-	engine *engine
-	daemon *daemon
-	key    judge.Key
-	sample judge.Sample
+	granted clock.Millis
+	engine  *engine
+	daemon  *daemon
+	key     judge.Key
+	sample  judge.Sample
 }
 
 // Run replays the scenario with the seed.
@@ -59,7 +60,7 @@
 	for i, region := range []string{"r0", "r1", "r2"} {
 		d := &daemon{
 			name: fmt.Sprintf("d%d", i), region: region, clockRate: 1 + float64(r.rng.IntN(7)-3)/1000,
-			fresh: judge.Window{}, digest: judge.Window{},
+			digest: judge.Window{},
 		}
 		d.elector = elector.Elector{Name: d.name, Span: stager.LeaseSpan}
 		r.daemons = append(r.daemons, d)
@@ -127,7 +128,7 @@
 // watch lets each daemon judge its own evidence and spreads stops.
 func (r *run) watch() {
 	for _, d := range r.daemons {
-		stop := d.watch()
+		stop := d.watch(r.at)
 		if stop == nil {
 			continue
 		}
--- a/replayer/mover/traffic.go
+++ b/replayer/mover/traffic.go
@@ -64,7 +64,7 @@
 	e.running[version]++
 	e.inUse++
 	at := r.at + (took/tick+1)*tick
-	r.ends[at] = append(r.ends[at], ending{engine: e, daemon: d, key: key, sample: sample})
+	r.ends[at] = append(r.ends[at], ending{granted: r.at, engine: e, daemon: d, key: key, sample: sample})
 }
 
 // count notes a grant. A version that had no upstream for a while is owed one
@@ -96,7 +96,7 @@
 	for _, e := range r.ends[r.at] {
 		e.engine.running[e.key.Version]--
 		e.engine.inUse--
-		e.daemon.fresh.Of(e.key).Add(e.sample)
+		e.daemon.collector.Add(r.at, e.granted, e.key, e.sample)
 	}
 	delete(r.ends, r.at)
 }
