Organisation limits: a home daemon lends rate, concurrency and tokens

Cause: limits of organisations stood in the inventory and bound nobody. Change: daemon/limiter (pure Lender and Borrower, drpc service Limit), in front of the reservation so that repeats of a key are not counted; 429 with retry_after_ms; a part in N while the home does not answer.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -14,6 +14,7 @@
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
+	"yuccaspread/daemon/limiter"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
@@ -33,11 +34,13 @@
 			},
 			newGranter,
 			newRemote,
-			func(r *reserver.Remote) reserver.Reserver { return r },
+			newLimiter,
+			func(l *limiter.Limiter) reserver.Reserver { return l },
 		),
-		fx.Invoke(func(l fx.Lifecycle, g *granter.Granter, r *reserver.Remote) {
+		fx.Invoke(func(l fx.Lifecycle, g *granter.Granter, r *reserver.Remote, limits *limiter.Limiter) {
 			runDuty(l, g.Run)
 			runDuty(l, r.Run)
+			runDuty(l, limits.Run)
 		}),
 		fx.Invoke(watchUpstreams),
 	)
@@ -73,6 +76,25 @@
 	}
 }
 
+type limiterOut struct {
+	fx.Out
+
+	Limiter *limiter.Limiter
+	Service peerService `group:"peer_services"`
+}
+
+// newLimiter holds organisations to their limits before a slot is reserved.
+func newLimiter(source inventory.Source, view gossiper.View, c clock.Clock, peers *connector.Connector, r *reserver.Remote, registerer prometheus.Registerer) limiterOut {
+	l := &limiter.Limiter{
+		Next: r, Source: source, View: view, Clock: c, Registerer: registerer,
+		Borrow: limiter.Caller(peers, view.Self().Name),
+	}
+	service := func(mux drpc.Mux) error {
+		return wire.DRPCRegisterLimit(mux, &limiter.Server{Limiter: l})
+	}
+	return limiterOut{Limiter: l, Service: service}
+}
+
 // watchUpstreams tells the schedulers of this daemon how their upstreams are.
 func watchUpstreams(l fx.Lifecycle, source inventory.Source, c clock.Clock, g *granter.Granter) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: reportTimeout.Duration()}
--- /dev/null
+++ b/daemon/limiter/limiter_test.go
@@ -0,0 +1,264 @@
+package limiter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/limiter"
+	"yuccaspread/daemon/refuser"
+	"yuccaspread/daemon/reserver"
+)
+
+type source struct{ config *inventory.Config }
+
+func (s source) Current() *inventory.Config { return s.config }
+
+type slot struct{ reserver.Slot }
+
+func (slot) End(reserver.Usage) {}
+
+// always is a Reserver that grants everything.
+type always struct{}
+
+func (always) Reserve(context.Context, *classifier.Request, []string) (reserver.Slot, error) {
+	return slot{}, nil
+}
+
+// fleet is a set of daemons whose limiters reach each other without network.
+type fleet struct {
+	clock    clock.Manual
+	mu       sync.Mutex
+	members  []gossiper.Member
+	cut      bool
+	limiters map[string]*limiter.Limiter
+}
+
+type view struct {
+	fleet *fleet
+	name  string
+}
+
+func (v view) Self() gossiper.Member { return gossiper.Member{Name: v.name, Region: "a"} }
+
+func (v view) Members() []gossiper.Member {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	return append([]gossiper.Member(nil), v.fleet.members...)
+}
+
+func newFleet(count int, organisation inventory.Organisation) *fleet {
+	f := &fleet{limiters: map[string]*limiter.Limiter{}}
+	f.clock.Advance(clock.Hour)
+	organisation.Name = "o"
+	config := &inventory.Config{Organisations: []inventory.Organisation{organisation}}
+	for i := range count {
+		name := fmt.Sprintf("d%d", i)
+		f.members = append(f.members, gossiper.Member{Name: name, Region: "a", Incarnation: int64(clock.Hour)})
+		l := &limiter.Limiter{Next: always{}, Source: source{config}, View: view{f, name}, Clock: &f.clock}
+		l.Borrow = func(_ context.Context, home gossiper.Member, wants []limiter.Want) ([]limiter.Loan, error) {
+			if f.cut {
+				return nil, errors.New("cut")
+			}
+			return f.limiters[home.Name].Lend(name, wants), nil
+		}
+		f.limiters[name] = l
+	}
+	return f
+}
+
+func (f *fleet) try(daemon int, tokens int) (reserver.Slot, error) {
+	req := &classifier.Request{Organisation: "o", PromptTokens: tokens}
+	return f.limiters[fmt.Sprintf("d%d", daemon)].Reserve(context.Background(), req, nil)
+}
+
+// ramp offers requests for a minute at daemons that pick draws, and returns
+// how many were admitted.
+func (f *fleet) ramp(t *testing.T, pick func(r *rand.Rand) int) (admitted int) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(1, 2))
+	for range 60_000 / 5 {
+		s, err := f.try(pick(r), 1)
+		if err == nil {
+			admitted++
+			s.End(reserver.Usage{OutputTokens: 1})
+		}
+		f.clock.Advance(5)
+	}
+	return admitted
+}
+
+func TestTheSumOfTheRateHoldsWithUnevenCallers(t *testing.T) {
+	const rate, burst, seconds = 20, 40, 60
+	for name, pick := range map[string]func(r *rand.Rand) int{
+		"one daemon": func(*rand.Rand) int { return 3 },
+		"uneven":     func(r *rand.Rand) int { return min(r.IntN(5), r.IntN(5), r.IntN(5)) },
+		"even":       func(r *rand.Rand) int { return r.IntN(5) },
+	} {
+		f := newFleet(5, inventory.Organisation{RatePerSecond: rate, Burst: burst})
+		admitted := f.ramp(t, pick)
+		if most := rate*seconds + burst; admitted > most {
+			t.Errorf("%s: %d admitted, the limit is %d", name, admitted, most)
+		}
+		// Chunks that lie unused at quiet daemons go back only after a while.
+		if least := rate * seconds * 9 / 10; admitted < least {
+			t.Errorf("%s: %d admitted, the organisation may use %d", name, admitted, rate*seconds)
+		}
+	}
+}
+
+func TestTheSumOfTheTokensHolds(t *testing.T) {
+	f := newFleet(3, inventory.Organisation{TokensPerSecond: 100})
+	admitted := f.ramp(t, func(r *rand.Rand) int { return min(r.IntN(3), r.IntN(3)) })
+	// Each request takes two tokens, and each daemon may be two in debt.
+	if most := 100*(60+1)/2 + 3; admitted > most {
+		t.Errorf("%d admitted, the limit is %d", admitted, most)
+	}
+	if least := 100 * 60 / 2 * 8 / 10; admitted < least {
+		t.Errorf("%d admitted, at least %d were due", admitted, least)
+	}
+}
+
+func TestTheSumOfTheConcurrencyHolds(t *testing.T) {
+	const concurrency = 10
+	f := newFleet(4, inventory.Organisation{Concurrency: concurrency})
+	r := rand.New(rand.NewPCG(3, 4))
+	var held []reserver.Slot
+	full := 0
+	for range 4000 {
+		if len(held) > 0 && r.IntN(3) == 0 {
+			held[0].End(reserver.Usage{})
+			held = held[1:]
+		} else if s, err := f.try(min(r.IntN(4), r.IntN(4)), 0); err == nil {
+			held = append(held, s)
+		}
+		if len(held) > concurrency {
+			t.Fatalf("%d requests in progress", len(held))
+		}
+		if len(held) == concurrency {
+			full++
+		}
+		f.clock.Advance(50)
+		f.tick()
+	}
+	if full == 0 {
+		t.Error("the organisation never could use all of its concurrency")
+	}
+}
+
+// tick lets every limiter renew and give back.
+func (f *fleet) tick() {
+	for _, l := range f.limiters {
+		l.Tick(context.Background())
+	}
+}
+
+func TestAnUnreachableHomeLeavesEachDaemonItsPart(t *testing.T) {
+	f := newFleet(4, inventory.Organisation{Concurrency: 6})
+	f.cut = true
+	total := 0
+	for daemon := range 4 {
+		for range 10 {
+			if _, err := f.try(daemon, 0); err == nil {
+				total++
+			}
+			f.clock.Advance(clock.Second)
+		}
+	}
+	// The home itself lends up to the whole to its own requests, for it can't
+	// know that nobody reaches it.
+	if total < 6 || total > 6+5 {
+		t.Errorf("%d requests in progress", total)
+	}
+}
+
+func TestTheRefusalTellsWhenToComeAgain(t *testing.T) {
+	f := newFleet(1, inventory.Organisation{RatePerSecond: 0.5, Burst: 1})
+	if _, err := f.try(0, 0); err != nil {
+		t.Fatal(err)
+	}
+	_, err := f.try(0, 0)
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) || refusal.Status != http.StatusTooManyRequests || refusal.Outcome != refuser.NotRun {
+		t.Fatalf("got %v", err)
+	}
+	if refusal.RetryAfter < 1900 || refusal.RetryAfter > 2100 {
+		t.Errorf("retry after %d ms", refusal.RetryAfter)
+	}
+	f.clock.Advance(refusal.RetryAfter)
+	if _, err := f.try(0, 0); err != nil {
+		t.Errorf("refused again: %v", err)
+	}
+}
+
+func TestQuietOrganisationsTakeNoMemory(t *testing.T) {
+	const count = 18_000
+	var lender limiter.Lender
+	var borrower limiter.Borrower
+	terms := limiter.TermsOf(inventory.Organisation{RatePerSecond: 10, Concurrency: 5, TokensPerSecond: 100})
+	now := clock.Hour
+	for i := range count {
+		name := fmt.Sprint("organisation-", i)
+		borrower.Admit(now, name, terms, 10, true)
+		borrower.Take(now, name, lender.Lend(now, "d1", terms, borrower.Want(now, name, 10), false))
+		if v, _ := borrower.Admit(now, name, terms, 10, true); v != limiter.Admitted {
+			t.Fatalf("verdict %v", v)
+		}
+		borrower.Release(name, 10)
+	}
+	if lender.Len() != count || borrower.Len() != count {
+		t.Fatalf("%d lent, %d borrowed", lender.Len(), borrower.Len())
+	}
+	for range 30 {
+		now += clock.Second
+		for _, want := range borrower.Due(now) {
+			borrower.Renew(now, want.Organisation, lender.Lend(now, "d1", terms, want, false))
+		}
+		lender.Forget(now)
+	}
+	if lender.Len() != 0 || borrower.Len() != 0 {
+		t.Errorf("%d lent, %d borrowed after all went quiet", lender.Len(), borrower.Len())
+	}
+}
+
+// BenchmarkMemory tells what 18,000 organisations cost while they are busy.
+func BenchmarkMemory(b *testing.B) {
+	terms := limiter.TermsOf(inventory.Organisation{RatePerSecond: 10, Concurrency: 5, TokensPerSecond: 100})
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var lender limiter.Lender
+		var borrower limiter.Borrower
+		for i := range 18_000 {
+			name := fmt.Sprint("organisation-", i)
+			borrower.Take(0, name, lender.Lend(0, "d1", terms, borrower.Want(0, name, 10), false))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/18_000, "bytes/organisation")
+		runtime.KeepAlive(&lender)
+		runtime.KeepAlive(&borrower)
+	}
+}
+
+// BenchmarkAdmit measures one admitted request out of what was lent.
+func BenchmarkAdmit(b *testing.B) {
+	f := newFleet(2, inventory.Organisation{RatePerSecond: 1e9, Concurrency: 1 << 20})
+	for b.Loop() {
+		s, err := f.try(0, 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.End(reserver.Usage{})
+	}
+}
--- /dev/null
+++ b/daemon/limiter/server.go
@@ -0,0 +1,62 @@
+package limiter
+
+import (
+	"context"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
+)
+
+// Server lends to other daemons over drpc.
+type Server struct {
+	Limiter *Limiter
+}
+
+// Borrow implements wire.DRPCLimitServer.
+func (s *Server) Borrow(_ context.Context, req *wire.BorrowRequest) (reply *wire.BorrowReply, err error) {
+	wants := make([]Want, 0, len(req.GetWants()))
+	for _, w := range req.GetWants() {
+		wants = append(wants, Want{
+			Organisation: w.GetOrganisation(), Requests: int(w.GetRequests()), Tokens: int(w.GetTokens()), Slots: int(w.GetSlots()),
+			ReturnedRequests: int(w.GetReturnedRequests()), ReturnedTokens: int(w.GetReturnedTokens()),
+			LeastTokens: int(w.GetLeastTokens()),
+		})
+	}
+	reply = &wire.BorrowReply{}
+	for _, l := range s.Limiter.Lend(req.GetDaemon(), wants) {
+		reply.Loans = append(reply.Loans, &wire.Loan{
+			Requests: int32(l.Requests), Tokens: int64(l.Tokens), Slots: int32(l.Slots), RetryAfterMs: int64(l.RetryAfter),
+		})
+	}
+	return reply, nil
+}
+
+// Caller returns the Borrow of a Limiter over the connections to other
+// daemons.
+func Caller(peers *connector.Connector, self string) func(ctx context.Context, home gossiper.Member, wants []Want) ([]Loan, error) {
+	return func(ctx context.Context, home gossiper.Member, wants []Want) (loans []Loan, err error) {
+		req := &wire.BorrowRequest{Daemon: self}
+		for _, w := range wants {
+			req.Wants = append(req.Wants, &wire.Want{
+				Organisation: w.Organisation, Requests: int32(w.Requests), Tokens: int64(w.Tokens), Slots: int32(w.Slots),
+				ReturnedRequests: int32(w.ReturnedRequests), ReturnedTokens: int64(w.ReturnedTokens),
+				LeastTokens: int64(w.LeastTokens),
+			})
+		}
+		conn := peers.Call(ctx, home.PeerListen)
+		defer func() { _ = conn.Close() }()
+		reply, err := wire.NewDRPCLimitClient(conn).Borrow(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		for _, l := range reply.GetLoans() {
+			loans = append(loans, Loan{
+				Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Slots: int(l.GetSlots()),
+				RetryAfter: clock.Millis(l.GetRetryAfterMs()),
+			})
+		}
+		return loans, nil
+	}
+}
