--- a/daemon/limiter/borrower.go
+++ b/daemon/limiter/borrower.go
@@ -171,25 +171,10 @@
 func (b *Borrower) Due(now clock.Millis) (wants []Want) {
 	for name, p := range b.purses {
 		p.roll(now)
-		wanted := 0
-		if p.inUse > 0 {
-			wanted = p.inUse + p.inUse/headroomPart
-		}
-		bounded := p.terms.Concurrency != unbounded && now < p.slotsUntil
-		renew := bounded && wanted > 0 && p.slotsUntil-now <= slotLifetime/2
-		giveBack := bounded && p.slots > wanted+1
-		stale := now >= p.chunkUntil && (p.requests > 0 || p.tokens > 0)
-		debt := now >= p.chunkUntil && p.tokens < 0
-		if renew || giveBack || stale || debt {
-			want := Want{Organisation: name, Slots: wanted, Tokens: max(-p.tokens, 0), LeastTokens: max(-p.tokens, 0)}
-			if stale {
-				want.ReturnedRequests, want.ReturnedTokens = p.requests, max(p.tokens, 0)
-				p.requests, p.tokens = 0, min(p.tokens, 0)
-			}
+		if want, due := p.due(now); due {
+			want.Organisation = name
 			wants = append(wants, want)
-			continue
-		}
-		if p.inUse == 0 && p.waiting == 0 && now >= p.chunkUntil && now >= p.slotsUntil && p.tokens >= 0 {
+		} else if p.isQuiet(now) {
 			delete(b.purses, name)
 		}
 	}
@@ -197,6 +182,34 @@
 	return wants
 }
 
+// due returns what to ask of the home without any request.
+func (p *purse) due(now clock.Millis) (want Want, due bool) {
+	if p.inUse > 0 {
+		want.Slots = p.inUse + p.inUse/headroomPart
+	}
+	due = p.slotsDue(now, want.Slots)
+	if now < p.chunkUntil {
+		return want, due
+	}
+	want.ReturnedRequests, want.ReturnedTokens = p.requests, max(p.tokens, 0)
+	p.requests, p.tokens = 0, min(p.tokens, 0)
+	want.Tokens, want.LeastTokens = -p.tokens, -p.tokens
+	return want, due || want.ReturnedRequests > 0 || want.ReturnedTokens > 0 || want.Tokens > 0
+}
+
+// slotsDue tells whether the concurrency is to be renewed or given back.
+func (p *purse) slotsDue(now clock.Millis, wanted int) bool {
+	if p.terms.Concurrency == unbounded || now >= p.slotsUntil {
+		return false
+	}
+	ageing := p.slotsUntil-now <= slotLifetime/2
+	return (wanted > 0 && ageing) || p.slots > wanted+1
+}
+
+func (p *purse) isQuiet(now clock.Millis) bool {
+	return p.inUse == 0 && p.waiting == 0 && now >= p.chunkUntil && now >= p.slotsUntil
+}
+
 // Renew takes the answer to a want of Due, asked at the reading now.
 func (b *Borrower) Renew(now clock.Millis, organisation string, loan Loan) {
 	p := b.purses[organisation]
@@ -217,12 +230,12 @@
 // roll moves the windows of the demand.
 func (p *purse) roll(now clock.Millis) {
 	window := now / demandWindow
-	switch window - p.window {
-	case 0:
+	passed := window - p.window
+	if passed == 0 {
 		return
-	case 1:
-		p.usedBefore, p.usedTokensBefore = p.used, p.usedTokens
-	default:
+	}
+	p.usedBefore, p.usedTokensBefore = p.used, p.usedTokens
+	if passed != 1 {
 		p.usedBefore, p.usedTokensBefore = 0, 0
 	}
 	p.used, p.usedTokens = 0, 0
