Stand-in engines resume streams and misbehave on order

Cause: cuts, silence, crossed and late answers and crashes could not be brought about. Change: streams run on without readers for a grace, resume after an event number and end by DELETE; PUT /faults on engines and services.

--- a/standin/answerer/answerer.go
+++ b/standin/answerer/answerer.go
@@ -23,8 +23,11 @@
 	Name string
 	// Delay is the time that a call takes.
 	Delay clock.Millis
+	// Crash ends the process, for the fault of that name.
+	Crash func()
 
-	mu sync.Mutex
+	mu     sync.Mutex
+	faults Faults
 	// runs counts the calls by their Idempotency-Key.
 	runs map[string]int
 }
@@ -34,6 +37,7 @@
 func (a *Answerer) Register(router *mux.Router) {
 	router.HandleFunc("/runs", a.serveRuns).Methods(http.MethodGet)
 	router.HandleFunc("/v1/load", a.serveLoad).Methods(http.MethodGet)
+	router.HandleFunc("/faults", a.serveFaults).Methods(http.MethodPut)
 	router.PathPrefix("/").HandlerFunc(a.serveCall)
 }
 
@@ -57,16 +61,25 @@
 	}
 	key := r.Header.Get("Idempotency-Key")
 	run := a.record(key)
+	fault := a.takeFault(string(body))
 	time.Sleep(a.Delay.Duration())
 	w.Header().Set("X-Upstream", a.Name)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(struct {
+	answer, err := json.Marshal(struct {
 		Key  string `json:"key"`
 		Run  int    `json:"run"`
 		Echo string `json:"echo"`
 	}{key, run, string(body)})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	fault.answer(r.Context(), w, r.Header.Get(headerRequest), append(answer, '\n'))
 }
 
+// headerRequest names the attempt that an answer belongs to.
+const headerRequest = "X-Request-Id"
+
 func (a *Answerer) record(key string) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -45,6 +46,11 @@
 	ReportEvery clock.Millis
 	// LoseEvery loses each cache event whose number it divides; 0 loses none.
 	LoseEvery int64
+	// Grace is how long a stream runs on without anyone who reads it; 0 stands
+	// for DefaultGrace.
+	Grace clock.Millis
+	// Crash ends the process, for the fault of that name.
+	Crash func()
 
 	once  sync.Once
 	slots chan struct{}
@@ -56,6 +62,8 @@
 	events  eventLog
 	report  loadReport
 	served  int
+	streams map[string]*stream
+	faults  Faults
 }
 
 // chatRequest is the part of an OpenAI request that the engine reads.
@@ -101,6 +109,9 @@
 	router.HandleFunc("/v1/completions", g.serveCompletion).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", g.serveLoad).Methods(http.MethodGet)
 	router.HandleFunc("/v1/cache_events", g.serveEvents).Methods(http.MethodGet)
+	router.HandleFunc("/v1/streams/{id}", g.serveStream).Methods(http.MethodGet)
+	router.HandleFunc("/v1/streams/{id}", g.cancelStream).Methods(http.MethodDelete)
+	router.HandleFunc("/faults", g.serveFaults).Methods(http.MethodPut)
 }
 
 func (g *Generator) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -112,20 +123,32 @@
 	if req.MaxTokens <= 0 {
 		req.MaxTokens = defaultMaxTokens
 	}
+	prompt := req.Text()
+	g.crash(prompt)
+	tag := r.Header.Get(headerRequest)
+	if req.Stream {
+		g.follow(w, r, g.begin(tag, req, prompt), 0)
+		return
+	}
 	if !g.enter(r.Context()) {
 		return
 	}
 	defer g.leave()
-	prompt := req.Text()
 	cached := g.prefill(r.Context(), prompt)
+	g.head(w, tag, cached)
+	g.whole(r.Context(), w, req, prompt)
+}
+
+// headerRequest names the attempt that an answer belongs to.
+const headerRequest = "X-Request-Id"
+
+func (g *Generator) head(w http.ResponseWriter, tag string, cached int) {
 	w.Header().Set("X-Upstream", g.Name)
 	w.Header().Set("X-Version", g.Version)
-	w.Header().Set("X-Cached-Tokens", fmt.Sprint(cached))
-	if req.Stream {
-		g.stream(r.Context(), w, req, prompt)
-		return
+	w.Header().Set("X-Cached-Tokens", strconv.Itoa(cached))
+	if tag != "" {
+		w.Header().Set(headerRequest, tag)
 	}
-	g.whole(r.Context(), w, req, prompt)
 }
 
 // enter waits for a slot; it returns false when the caller left.
@@ -230,25 +253,3 @@
 		Usage:   &usage{PromptTokens: count, CompletionTokens: len(tokens), TotalTokens: count + len(tokens)},
 	})
 }
-
-func (g *Generator) stream(ctx context.Context, w http.ResponseWriter, req chatRequest, prompt string) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := http.NewResponseController(w)
-	stop := "stop"
-	for i, token := range Answer(prompt, req.MaxTokens) {
-		sleep(ctx, g.gap())
-		if ctx.Err() != nil {
-			return
-		}
-		event(w, i+1, completion{Object: "chat.completion.chunk", Model: req.Model, Choices: []choice{{Delta: &message{Content: token}}}})
-		_ = flusher.Flush()
-	}
-	event(w, req.MaxTokens+1, completion{Object: "chat.completion.chunk", Model: req.Model, Choices: []choice{{Delta: &message{}, FinishReason: &stop}}})
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
-	_ = flusher.Flush()
-}
-
-func event(w http.ResponseWriter, id int, value any) {
-	body, _ := json.Marshal(value)
-	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, body)
-}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 
 	"github.com/gorilla/mux"
@@ -38,17 +39,26 @@
 			TokenGap:               e.TokenGapMS, GapPerRequest: e.GapPerRequestMS,
 			CacheBlocks: e.CacheBlocks, ReportEvery: e.ReportEveryMS, LoseEvery: e.LoseEvery,
 		}
+		engine.Crash = crash
 		engine.Register(router)
 		all[e.Listen] = router
 	}
 	for _, v := range s.Services {
 		router := mux.NewRouter()
-		(&answerer.Answerer{Name: v.Name, Delay: v.DelayMS}).Register(router)
+		(&answerer.Answerer{Name: v.Name, Delay: v.DelayMS, Crash: crash}).Register(router)
 		all[v.Listen] = router
 	}
 	return all
 }
 
+// crash ends the process at once, as a fault of an engine does.
+func crash() {
+	os.Exit(crashStatus)
+}
+
+// crashStatus is the exit status of a crash.
+const crashStatus = 3
+
 // serveAll serves until ctx ends, then waits for the calls in progress.
 func serveAll(ctx context.Context, routers map[string]http.Handler) (err error) {
 	var servers []*http.Server
