--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 LDFLAGS := -X main.version=$(VERSION)
 
-.PHONY: build demo measure test lint format check-format generate
+.PHONY: build demo measure test soak model lint format check-format generate
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/yuccaspread ./daemon
@@ -21,6 +21,15 @@
 measure: build
 	@scripts/measure_path
 
+# Histories of the claims under random faults; SOAK_CHECKS bounds the run.
+SOAK_CHECKS ?= 100000
+soak:
+	SOAK=1 go test -count=1 -timeout=0 -run=TestHistories ./daemon/claimer -rapid.checks=$(SOAK_CHECKS)
+
+# Full search of every model, and of every mutation, which must be caught.
+model:
+	@scripts/check_models
+
 lint:
 	for module in $(MODULES); do (cd $$module && golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -91,7 +91,10 @@
 	if errors.As(err, &refusal) || ctx.Err() != nil || r.Clock.Now() >= r.req.Deadline || !state.another(r.req.Idempotent) {
 		return false
 	}
-	if errors.Is(err, errWait) {
+	if errors.Is(err, claimer.ErrLost) {
+		return false
+	}
+	if errors.Is(err, errWait) || errors.Is(err, errLate) {
 		sleep(ctx, waitPause)
 		return true
 	}
