--- a/daemon/granter/failure_test.go
+++ b/daemon/granter/failure_test.go
@@ -196,6 +196,33 @@
 	eventually(t, "all slots are free", func() bool { r, w := sched.counts(); return r == 0 && w == 0 })
 }
 
+func TestASlotIsConfirmedOnceTheRequestIsSent(t *testing.T) {
+	c := newCluster(t, 3)
+	n := c.start("d1", region)
+	confirmed := func() int {
+		f := n.decider()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.confirmed
+	}
+	unsent, sent := mustReserve(t, n), mustReserve(t, n)
+	if !sent.Confirm() {
+		t.Fatal("a fresh slot was lost")
+	}
+	eventually(t, "the scheduler knows that one was sent", func() bool { return confirmed() == 1 })
+	// Every grant of this scheduler lasts for a second.
+	time.Sleep(clock.Second.Duration())
+	if unsent.Confirm() {
+		t.Error("an expired slot was confirmed")
+	}
+	if confirmed() != 1 {
+		t.Errorf("%d were confirmed", confirmed())
+	}
+	unsent.End(reserver.Usage{Outcome: reserver.NotSent})
+	sent.End(reserver.Usage{Outcome: reserver.Whole})
+	eventually(t, "all slots are free", func() bool { r, w := n.counts(); return r == 0 && w == 0 })
+}
+
 // stuck is a Decider that stands still until it is let go.
 type stuck struct{ free chan struct{} }
 
@@ -206,10 +233,10 @@
 
 func TestAFullRingPushesBack(t *testing.T) {
 	c := newCluster(t, 1)
-	n := c.start("d1", region)
 	s := &stuck{free: make(chan struct{})}
 	defer close(s.free)
-	n.granter.NewDecider = func() granter.Decider { return s }
+	c.decide = func() granter.Decider { return s }
+	n := c.start("d1", region)
 	session := n.granter.Attach("asker")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/daemon/granter/path_test.go
+++ b/daemon/granter/path_test.go
@@ -39,6 +39,8 @@
 	slots   map[string]int
 	running map[scheduler.AskID]string
 	waiting []scheduler.Ask
+	// confirmed counts the confirmations.
+	confirmed int
 	// refuse, where set, answers asks of these routes.
 	refuse map[string]scheduler.Reason
 }
@@ -61,6 +63,8 @@
 			return []scheduler.Effect{scheduler.Refuse{ID: m.ID, Reason: reason, RetryAfter: clock.Second}}
 		}
 		f.waiting = append(f.waiting, m)
+	case scheduler.Confirm:
+		f.confirmed++
 	case scheduler.Cancel:
 		f.end(m.ID)
 	case scheduler.End:
@@ -115,11 +119,13 @@
 
 // cluster is a set of daemons that see each other through one view.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	source  *source
 	mu      sync.Mutex
 	members []gossiper.Member
 	nodes   map[string]*node
+	// decide makes the decider of a shard; nil makes a fifo.
+	decide func() granter.Decider
 }
 
 type source struct{ config *inventory.Config }
@@ -176,7 +182,7 @@
 	return n.deciders[len(n.deciders)-1]
 }
 
-func newCluster(t *testing.T, slots int) *cluster {
+func newCluster(t testing.TB, slots int) *cluster {
 	config := inventory.Config{
 		Revision: 1,
 		Regions:  []inventory.Region{{Name: region}},
@@ -203,6 +209,9 @@
 	n.granter = &granter.Granter{
 		Source: c.source, View: v, Assigner: assigner, Clock: clock.System{},
 		NewDecider: func() granter.Decider {
+			if c.decide != nil {
+				return c.decide()
+			}
 			f := newFIFO()
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -10,6 +10,10 @@
 // confirmTime is the time that a confirmation may take to the scheduler.
 const confirmTime = 500 * clock.Millisecond
 
+// confirmLead is how long before the expiry of a grant its confirmation goes
+// out.
+const confirmLead = 1 * clock.Second
+
 // stage is how far an entry has come.
 type stage int
 
@@ -47,8 +51,10 @@
 	version  string
 	granted  clock.Millis
 	// expires is when an unconfirmed slot is lost, 0 for never.
-	expires     clock.Millis
-	confirmed   bool
+	expires   clock.Millis
+	confirmed bool
+	// told tells that the scheduler knows that the request was sent.
+	told        bool
 	firstToken  clock.Millis
 	isWithdrawn bool
 	// bytes is the paid volume that was set aside for the request.
@@ -195,19 +201,25 @@
 func (e *entry) Confirm() bool {
 	r := e.remote
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if e.stage != held || e.isWithdrawn || e.expired() {
-		r.mu.Unlock()
 		return false
 	}
 	e.confirmed = true
-	l := e.link
-	r.mu.Unlock()
-	if l != nil {
-		l.push(&wire.ReserveUp{Message: &wire.ReserveUp_Confirm{Confirm: &wire.Confirm{AskId: e.number}}})
-	}
 	return true
 }
 
+// tellConfirmed tells the scheduler of a request that was sent and whose
+// first token does not come before the grant would expire. Of most requests
+// the first token tells as much. The lock is held.
+func (e *entry) tellConfirmed(now clock.Millis) {
+	if !e.confirmed || e.told || e.link == nil || now < e.expires-confirmLead {
+		return
+	}
+	e.told = true
+	e.link.post(&wire.ReserveUp{Message: &wire.ReserveUp_Confirm{Confirm: &wire.Confirm{AskId: e.number}}})
+}
+
 // expired tells whether the scheduler has given the slot to another; the lock
 // is held.
 func (e *entry) expired() bool {
@@ -226,6 +238,7 @@
 		return
 	}
 	e.firstToken = max(r.Clock.Now(), 1)
+	e.told = true
 	l, waited := e.link, e.firstToken-e.granted
 	r.mu.Unlock()
 	if l != nil {
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -18,6 +18,7 @@
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
 		r.move(e, assignment)
+		e.tellConfirmed(now)
 	}
 	for _, l := range r.links {
 		if l.up && r.isUseless(l, now) {
