Scheduler: trust in cache events, probes judged whole, judged only when learned

Cause: a generation that is not yet known would make its upstreams look slow; a probe with a good prefill and slow decode flapped; lost cache events were ignored; reports older than a cut of the token budget cut it again; short prompts could keep a long one out of every prefill lane. Change: each of these. The replay follows decisions that come with a Confirm.

--- a/daemon/detector/straggler.go
+++ b/daemon/detector/straggler.go
@@ -12,7 +12,7 @@
 	// newestWeight is the weight of the newest sample in the mean.
 	newestWeight = 0.4
 	// minSamples is how many slow samples in a row it takes.
-	minSamples = 3
+	minSamples = 4
 	// firstProbe is the time to the first probe, doubled after each bad one.
 	firstProbe = 2 * clock.Second
 	// longestProbe bounds the time between probes.
@@ -28,10 +28,10 @@
 	wait    clock.Millis
 }
 
-// Observe takes in the ratio of a measured time to the expected one.
-func (s *Straggler) Observe(now clock.Millis, ratio float64) {
+// Observe takes in the ratio of a measured time to the expected one. What
+// still runs on an ejected upstream tells nothing.
+func (s *Straggler) Observe(ratio float64) {
 	if s.ejected {
-		s.observeProbe(now, ratio)
 		return
 	}
 	if s.mean == 0 {
@@ -45,13 +45,21 @@
 	s.slow++
 }
 
-func (s *Straggler) observeProbe(now clock.Millis, ratio float64) {
+// ObserveProbe takes in the ratio of a probe and tells whether the upstream
+// is healthy again.
+func (s *Straggler) ObserveProbe(now clock.Millis, ratio float64) (healthy bool) {
 	if ratio <= healthyRatio {
 		*s = Straggler{}
-		return
+		return true
 	}
 	s.wait = min(2*s.wait, longestProbe)
 	s.probeAt = now + s.wait
+	return false
+}
+
+// LoseProbe notes that a probe ended without telling anything.
+func (s *Straggler) LoseProbe(now clock.Millis) {
+	s.probeAt = now + s.wait
 }
 
 // Slow tells whether the upstream should be ejected.
--- a/daemon/estimator/speeds.go
+++ b/daemon/estimator/speeds.go
@@ -52,6 +52,13 @@
 	return speed
 }
 
+// Reset lets an upstream start again from what its generation taught.
+func (s *Speeds) Reset(name, generation string) {
+	if speed := s.upstreams[name]; speed != nil {
+		*speed = *newSpeed(s.Generation(generation))
+	}
+}
+
 // Forget drops an upstream that is gone.
 func (s *Speeds) Forget(name string) { delete(s.upstreams, name) }
 
--- a/daemon/placer/placer.go
+++ b/daemon/placer/placer.go
@@ -63,6 +63,14 @@
 
 // PromptFits tells whether the first token stays at its target, in
 // milliseconds; 0 is no target. An upstream that reads no prompt takes any.
-func PromptFits(load Load, e Expected, targetMS float64) bool {
-	return targetMS <= 0 || load.PrefillMS <= 0 || e.FirstTokenMS <= safety*targetMS
+// A request that waited for longer than the target only has to find little
+// before it, so that short prompts don't keep a long one out for ever.
+func PromptFits(load Load, e Expected, targetMS, waitedMS float64) bool {
+	if targetMS <= 0 || load.PrefillMS <= 0 {
+		return true
+	}
+	if waitedMS > targetMS {
+		return load.PrefillMS <= safety*targetMS/2
+	}
+	return e.FirstTokenMS <= safety*targetMS
 }
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -3,7 +3,7 @@
 import "yuccaspread/common/clock"
 
 // historyLength bounds the remembered changes of one upstream.
-const historyLength = 256
+const historyLength = 1024
 
 // runningAt is how many requests of this scheduler ran from a time on.
 type runningAt struct {
@@ -33,6 +33,7 @@
 func (f *foreign) take(m Load) {
 	own, known := f.at(m.Time)
 	if !known {
+		f.count, f.last = 0, 0
 		return
 	}
 	seen := max(m.Running+m.Waiting-own, 0)
@@ -65,11 +66,12 @@
 	peak float64
 }
 
-func (b *tokenBudget) take(m Load, tokens int) {
-	if m.Waiting > 0 {
+// take looks at a report; one from before the last cut tells nothing new.
+func (b *tokenBudget) take(now clock.Millis, m Load, tokens, slots int) {
+	if m.Waiting > 0 && m.Running < slots {
 		if m.Time > b.cutAt {
 			b.bound = budgetCut * float64(tokens)
-			b.cutAt = m.Time
+			b.cutAt = now
 		}
 		return
 	}
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -56,7 +56,7 @@
 		}
 		r.usable |= u.mask()
 		work := placer.Work{Prompt: a.PromptTokens, Output: output}
-		work.Cached = min(int(depths[u.place])*hasher.BlockTokens, a.PromptTokens)
+		work.Cached = u.trust.cached(int(depths[u.place])*hasher.BlockTokens, a.PromptTokens)
 		load := u.load(s.now)
 		e := placer.Expect(u.speed, load, work)
 		lone := e.EndMS - load.PrefillMS
@@ -98,7 +98,7 @@
 		return a.Idempotent && u.straggler.Probe(s.now)
 	}
 	return load.Running < placer.Sequences(&u.speed.Gap, s.tokenGap, u.Slots) &&
-		placer.PromptFits(load, e, s.firstToken) &&
+		placer.PromptFits(load, e, s.firstToken, float64(s.now-a.arrived)) &&
 		u.tokenBudget.fits(u.tokens, a.PromptTokens+a.output) &&
 		s.shares.room(u.version)
 }
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"yuccaspread/common/clock"
-	"yuccaspread/common/hasher"
 	"yuccaspread/daemon/reserver"
 )
 
@@ -52,7 +51,10 @@
 	a.confirmed = true
 	a.started = s.now
 	s.learnPrefill(a, m.CachedTokens)
-	s.correctIndex(a, m.CachedTokens)
+	if a.cached > 0 {
+		u.trust.learn(a.cached, m.CachedTokens)
+	}
+	s.index.Store(a.PrefixHashes, u.place)
 	s.stopReading(a)
 	a.runningSum = u.sum(s.now)
 	u.pausedUntil = 0
@@ -76,21 +78,14 @@
 	tookMS := float64(s.now - max(a.granted, u.readingSince))
 	fresh := float64(max(a.PromptTokens-cached, 1))
 	kindMS := u.generation.Prefill.At(fresh)
-	s.observe(u, (tookMS+1)/(kindMS+1))
-	u.generation.Prefill.Add(fresh, min(tookMS, clippedRatio*kindMS))
 	u.speed.Prefill.Add(fresh, tookMS)
-}
-
-// correctIndex follows what the response says of the cache.
-func (s *State) correctIndex(a *ask, cached int) {
-	hit := min(cached/hasher.BlockTokens, len(a.PrefixHashes))
-	predicted := a.cached / hasher.BlockTokens
-	if predicted > hit {
-		// What an upstream evicted once, it may have evicted more of; its next
-		// prompts tell. This prompt itself is cached there now.
-		s.index.Remove(a.PrefixHashes[hit:], a.upstream.place)
-	}
-	s.index.Store(a.PrefixHashes, a.upstream.place)
+	a.ratio = 1
+	if u.generation.Prefill.Confident() {
+		a.ratio = (tookMS + 1) / (kindMS + 1)
+		tookMS = min(tookMS, clippedRatio*kindMS)
+		s.observe(u, a.ratio)
+	}
+	u.generation.Prefill.Add(fresh, tookMS)
 }
 
 func (s *State) takeEnd(m End) {
@@ -123,9 +118,26 @@
 	running := (u.sum(s.now) - a.runningSum) / span
 	gapMS := span / float64(output-1)
 	kindMS := u.generation.Gap.At(running)
-	s.observe(u, gapMS/max(kindMS, 1))
-	u.generation.Gap.Add(running, min(gapMS, clippedRatio*kindMS))
 	u.speed.Gap.Add(running, gapMS)
+	if u.generation.Gap.Confident() {
+		ratio := gapMS / max(kindMS, 1)
+		a.ratio = max(a.ratio, ratio)
+		gapMS = min(gapMS, clippedRatio*kindMS)
+		s.observe(u, ratio)
+	}
+	u.generation.Gap.Add(running, gapMS)
+}
+
+// judgeProbe takes an upstream back if the probe that ended was healthy.
+func (s *State) judgeProbe(a *ask) {
+	u := a.upstream
+	if a.ratio == 0 {
+		u.straggler.LoseProbe(s.now)
+		return
+	}
+	if u.straggler.ObserveProbe(s.now, a.ratio) {
+		s.speeds.Reset(u.Name, u.Generation)
+	}
 }
 
 // release frees the slot of a granted ask and forgets it.
@@ -134,6 +146,9 @@
 	if a.started == 0 {
 		s.stopReading(a)
 	}
+	if a.probe && u.straggler.Ejected() {
+		s.judgeProbe(a)
+	}
 	u.count(s.now, -1)
 	u.tokens -= a.PromptTokens + a.output
 	delete(s.asks, a.ID)
@@ -144,7 +159,7 @@
 
 // observe judges an upstream by a measured time over the expected one.
 func (s *State) observe(u *upstream, ratio float64) {
-	u.straggler.Observe(s.now, ratio)
+	u.straggler.Observe(ratio)
 	if !u.straggler.Slow() {
 		return
 	}
@@ -165,7 +180,7 @@
 // watchPrefill judges upstreams whose next first token is overdue.
 func (s *State) watchPrefill() {
 	for _, u := range s.upstreams {
-		if u.reading == 0 || s.now-u.watched < watchEvery {
+		if u.reading == 0 || s.now-u.watched < watchEvery || !u.generation.Prefill.Confident() {
 			continue
 		}
 		tookMS := float64(s.now - u.readingSince)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -77,7 +77,10 @@
 	started clock.Millis
 	// runningSum is the upstream's sum of running time at the first token.
 	runningSum float64
-	probe      bool
+	// probe tells whether it tries an ejected upstream, and ratio is the
+	// worst of its times over the expected ones, 0 while none is known.
+	probe bool
+	ratio float64
 }
 
 // Update takes in a message and returns what is to be done about it. Time
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -26,6 +26,7 @@
 	pausedUntil clock.Millis
 	pause       clock.Millis
 
+	trust      trust
 	speed      *estimator.Speed
 	generation *estimator.Speed
 	straggler  detector.Straggler
@@ -153,7 +154,7 @@
 	u.runningSum = u.sum(s.now)
 	u.runningAt = s.now
 	u.foreign.take(m)
-	u.tokenBudget.take(m, u.tokens)
+	u.tokenBudget.take(s.now, m, u.tokens, u.Slots)
 }
 
 func (s *State) takeHealth(m Health) {
@@ -168,6 +169,9 @@
 	if u == nil {
 		return
 	}
+	if m.Gap {
+		u.trust.doubt()
+	}
 	s.index.Store(m.Stored, u.place)
 	s.index.Remove(m.Removed, u.place)
 }
--- a/replayer/selector/scheduled.go
+++ b/replayer/selector/scheduled.go
@@ -33,8 +33,8 @@
 	for _, e := range p.state.Update(now, m) {
 		switch e := e.(type) {
 		case scheduler.Grant:
-			p.state.Update(now, scheduler.Confirm{ID: e.ID})
 			decisions = append(decisions, Decision{Number: e.ID.Number, Upstream: e.Upstream})
+			decisions = append(decisions, p.update(now, scheduler.Confirm{ID: e.ID})...)
 		case scheduler.Refuse:
 			decisions = append(decisions, Decision{Number: e.ID.Number})
 		case scheduler.Withdraw:
