--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -94,6 +94,9 @@
 	if !u.open(s.now) {
 		return false
 	}
+	if u.tentative && u.running > 0 {
+		return false
+	}
 	if u.straggler.Ejected() {
 		return a.Idempotent && u.straggler.Probe(s.now)
 	}
@@ -177,6 +180,9 @@
 	u.tokens += a.PromptTokens + a.output
 	u.reading++
 	u.readingMS += a.prefillMS
+	a.kindMS = u.generation.Prefill.At(float64(max(a.PromptTokens-a.cached, 1)))
+	a.aheadMS = u.kindReadingMS
+	u.kindReadingMS += a.kindMS
 }
 
 func (s *State) grantLifetime() clock.Millis {
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -15,6 +15,10 @@
 	watchEvery = 500 * clock.Millisecond
 	// watchSlack is what any first token may take beyond expectation.
 	watchSlack = 300.0
+	// forgetAfter is how long the speed of an idle upstream is believed.
+	forgetAfter = 20 * clock.Second
+	// prefillSlack is what prefill times vary by anyhow, in milliseconds.
+	prefillSlack = 100.0
 	// clippedRatio bounds what one sample teaches a generation.
 	clippedRatio = 2.0
 	// minGapTokens is the least output that tells the time between tokens.
@@ -66,9 +70,10 @@
 	u := a.upstream
 	u.reading--
 	u.readingMS = max(u.readingMS-a.prefillMS, 0)
+	u.kindReadingMS = max(u.kindReadingMS-a.kindMS, 0)
 	u.readingSince = s.now
 	if u.reading == 0 {
-		u.readingMS = 0
+		u.readingMS, u.kindReadingMS = 0, 0
 	}
 }
 
@@ -79,9 +84,10 @@
 	fresh := float64(max(a.PromptTokens-cached, 1))
 	kindMS := u.generation.Prefill.At(fresh)
 	u.speed.Prefill.Add(fresh, tookMS)
+	u.learnedAt = s.now
 	a.ratio = 1
 	if u.generation.Prefill.Confident() {
-		a.ratio = (tookMS + 1) / (kindMS + 1)
+		a.ratio = (float64(s.now-a.granted) + prefillSlack) / (a.aheadMS + kindMS + prefillSlack)
 		tookMS = min(tookMS, clippedRatio*kindMS)
 		s.observe(u, a.ratio)
 	}
@@ -97,6 +103,7 @@
 	switch m.Usage.Outcome {
 	case reserver.Whole:
 		s.learnGap(a, m.Usage.OutputTokens)
+		u.tentative = false
 		s.lengths.Add(a.Route, a.Organisation, m.Usage.OutputTokens)
 	case reserver.Died:
 		u.pause = min(max(2*u.pause, firstPause), longestPause)
@@ -177,9 +184,15 @@
 	}
 }
 
-// watchPrefill judges upstreams whose next first token is overdue.
-func (s *State) watchPrefill() {
+// watch judges upstreams whose next first token is overdue, and lets those
+// that got no work for long start again: what was learned may be outdated.
+func (s *State) watch() {
 	for _, u := range s.upstreams {
+		if u.running == 0 && s.now-u.learnedAt >= forgetAfter {
+			s.speeds.Reset(u.Name, u.Generation)
+			u.learnedAt = s.now
+			u.tentative = true
+		}
 		if u.reading == 0 || s.now-u.watched < watchEvery || !u.generation.Prefill.Confident() {
 			continue
 		}
--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -17,6 +17,10 @@
 	refused map[uint64]scheduler.Reason
 	lowest  int
 	now     clock.Millis
+
+	// next and turns belong to serve.
+	next  uint64
+	turns []turn
 }
 
 func newBench(slots ...int) *bench {
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -73,6 +73,9 @@
 	cached int
 	// prefillMS is what the prompt was expected to take.
 	prefillMS float64
+	// kindMS is the same by the speed of the generation, and aheadMS what the
+	// prompts before it were expected to take.
+	kindMS, aheadMS float64
 	// started is when the first token came, 0 before.
 	started clock.Millis
 	// runningSum is the upstream's sum of running time at the first token.
@@ -128,7 +131,7 @@
 	case RegionTier:
 		s.region.take(s.now, m)
 	case Tick:
-		s.watchPrefill()
+		s.watch()
 	}
 }
 
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -39,9 +39,16 @@
 	// what they were expected to take together.
 	reading   int
 	readingMS float64
+	// kindReadingMS is the same by the speed of its generation.
+	kindReadingMS float64
 	// readingSince is when the prompt that is being read was begun.
 	readingSince clock.Millis
 	watched      clock.Millis
+	// learnedAt is when its speed was measured last.
+	learnedAt clock.Millis
+	// tentative lets only one request at a time go to an upstream whose speed
+	// was forgotten, until one of them ends.
+	tentative bool
 
 	// runningSum is the integral of running over time until runningAt.
 	runningSum float64
@@ -158,10 +165,16 @@
 }
 
 func (s *State) takeHealth(m Health) {
-	if u := s.upstream(m.Upstream); u != nil {
-		u.down = !m.Up
-		u.pausedUntil = 0
+	u := s.upstream(m.Upstream)
+	if u == nil {
+		return
+	}
+	if !m.Up && !u.down {
+		// What it had cached is lost with it.
+		s.index.Forget(u.place)
 	}
+	u.down = !m.Up
+	u.pausedUntil = 0
 }
 
 func (s *State) takeCacheChange(m CacheChange) {
