Planned stops cut nothing: real daemons under load, each stopped in turn

Cause: a daemon that had just started named others with the default lifetime of 10 s, as it did not know the one in force; their planned stops then refused callers (test of three real daemons: refused connections after 4 s). Change: before the lifetime in force is known the least one is given; requests and questions for addresses get a truthful 503 until then; a daemon that knows nobody looks for others each second; state changes of members are logged. Conclusion: SIGTERM and POST /v1/admin/drain keep the order of a stop.

--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -32,13 +32,15 @@
 	return place + ": " + m.Problem
 }
 
+// MinAddressLifetime is the least AddressLifetimeMS that may be set.
+const MinAddressLifetime = 1 * clock.Second
+
 // Ranges that Check holds entries to.
 const (
 	maxNameBytes       = 128
 	maxSlots           = 100_000
 	maxDeadline        = clock.Day
 	maxAddressLifetime = 5 * clock.Minute
-	minAddressLifetime = 1 * clock.Second
 	maxRetention       = 366 * clock.Day
 	maxSoak            = 90 * clock.Day
 	maxFirstShare      = 0.2
@@ -195,8 +197,8 @@
 	}
 	check(within(l.KeyRetentionMS, 0, maxRetention), "key_retention_ms", "must be from 0 to %d", maxRetention)
 	check(within(l.ConvictionMS, 0, maxRetention), "conviction_ms", "must be from 0 to %d", maxRetention)
-	check(l.AddressLifetimeMS == 0 || within(l.AddressLifetimeMS, minAddressLifetime, maxAddressLifetime),
-		"address_lifetime_ms", "must be from %d to %d", minAddressLifetime, maxAddressLifetime)
+	check(l.AddressLifetimeMS == 0 || within(l.AddressLifetimeMS, MinAddressLifetime, maxAddressLifetime),
+		"address_lifetime_ms", "must be from %d to %d", MinAddressLifetime, maxAddressLifetime)
 	check(finite(l.RetryShare) && l.RetryShare <= 1, "retry_share", "must be from 0 to 1")
 	check(finite(l.EjectShare) && l.EjectShare <= maxEjectShare, "eject_share", "must be from 0 to %v", maxEjectShare)
 	check(l.QueuePerShard >= 0, "queue_per_shard", "must not be negative")
--- /dev/null
+++ b/daemon/drain_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+)
+
+// caller sends one request after the other, each only once, to the daemon
+// that its kept address answer names first.
+type caller struct {
+	fleet   *fleet
+	client  *http.Client
+	address string
+	from    string
+	until   time.Time
+}
+
+// refresh asks any daemon for addresses, as a new caller does.
+func (c *caller) refresh() (err error) {
+	for i := range c.fleet.regions {
+		var answer struct {
+			Addresses []struct {
+				Address string `json:"address"`
+			} `json:"addresses"`
+			LifetimeMS clock.Millis `json:"lifetime_ms"`
+		}
+		err = c.fleet.get(fmt.Sprintf("LISTEN_%d", i), "/v1/addresses?region=wien-a", &answer)
+		if err == nil {
+			c.address = answer.Addresses[0].Address
+			c.from = fmt.Sprint(i)
+			c.until = time.Now().Add(answer.LifetimeMS.Duration())
+			return nil
+		}
+	}
+	return err
+}
+
+// send sends a stream or a booking and returns an error unless the answer is
+// whole.
+func (c *caller) send(stream bool) (err error) {
+	if time.Now().After(c.until) {
+		if err = c.refresh(); err != nil {
+			return err
+		}
+	}
+	path, body := "/bookings", `{"seat":1}`
+	if stream {
+		path, body = "/v1/completions", `{"model":"tent-guide","prompt":"when is sunset","max_tokens":60,"stream":true}`
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return err
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	if !stream {
+		req.Header.Set("Idempotency-Key", uuid.NewString())
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	whole := stream && strings.Contains(string(answer), "data: [DONE]") || !stream && json.Valid(answer)
+	if res.StatusCode != http.StatusOK || !whole {
+		return fmt.Errorf("%s: %d bytes, ending %q", res.Status, len(answer), answer[max(0, len(answer)-200):])
+	}
+	return nil
+}
+
+func TestPlannedStopsCutNothing(t *testing.T) {
+	const callers = 8
+	edit := func(c *inventory.Config) { c.Limits.AddressLifetimeMS = clock.Second }
+	f := newFleet(t, edit, "wien-a", "wien-a", "graz-a")
+	var wait sync.WaitGroup
+	var sent, cut atomic.Int64
+	stop := make(chan struct{})
+	for n := range callers {
+		wait.Go(func() {
+			c := &caller{fleet: f, client: &http.Client{Transport: &http.Transport{}}}
+			for number := n; ; number++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				sent.Add(1)
+				if err := c.send(number%4 != 0); err != nil {
+					cut.Add(1)
+					t.Errorf("caller %d: %s from daemon %s: %v", n, c.address, c.from, err)
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for _, i := range []int{1, 2, 0} {
+		before := sent.Load()
+		f.stop(i, i == 2)
+		if sent.Load() == before {
+			t.Errorf("no request came while daemon %d stopped", i)
+		}
+		f.start(i)
+		f.awaitReady(i)
+	}
+	close(stop)
+	wait.Wait()
+	t.Logf("%d requests, %d cut", sent.Load(), cut.Load())
+	f.awaitInForce(1, len(f.regions))
+}
--- a/daemon/drainer/drainer.go
+++ b/daemon/drainer/drainer.go
@@ -104,13 +104,19 @@
 	// The sample comes before the flag, the spread after it: daemons that have
 	// not heard yet go on naming this one.
 	d.leaving.Store(true)
-	until := d.sample() + d.Spread()
+	spread := d.Spread()
+	heard := d.Clock.Now() + spread
+	until := d.sample() + spread
 	d.Leave(ctx)
-	wait := until - d.Clock.Now()
-	klog.InfoS("leaving", "accepting_for_ms", wait, "in_progress", d.InProgress())
-	select {
-	case <-time.After(wait.Duration()):
-	case <-ctx.Done():
+	klog.InfoS("leaving", "accepting_for_ms", until-d.Clock.Now(), "in_progress", d.InProgress())
+	for wait := until - d.Clock.Now(); wait > 0 && ctx.Err() == nil; wait = until - d.Clock.Now() {
+		select {
+		case <-time.After(wait.Duration()):
+		case <-ctx.Done():
+		}
+		// Others may have given out a longer lifetime that was not in force
+		// here yet.
+		until = max(until, heard+d.Lifetime())
 	}
 	klog.InfoS("no longer accepting", "in_progress", d.InProgress())
 }
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -19,6 +19,7 @@
 	"yuccaspread/daemon/drainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
 )
 
@@ -26,9 +27,7 @@
 	return fx.Module("ingress",
 		fx.Provide(
 			newAdministrator,
-			func(g *gossiper.Gossiper, source inventory.Source) *resolver.Resolver {
-				return &resolver.Resolver{Source: source, Members: g}
-			},
+			newResolver,
 			newDrainer,
 			newRouter,
 		),
@@ -50,11 +49,25 @@
 	}
 }
 
-func newDrainer(c clock.Clock, g *gossiper.Gossiper, source inventory.Source) *drainer.Drainer {
+// silence is how long neither the table nor any other daemon may answer until
+// this daemon takes itself for cut off.
+const silence = 10 * clock.Second
+
+func newResolver(g *gossiper.Gossiper, c *configurer.Configurer, now clock.Clock) *resolver.Resolver {
+	return &resolver.Resolver{
+		Source: c, Members: g, Ready: c.Ready,
+		CutOff: func() bool {
+			stored, _ := c.Stored()
+			proved, _ := g.Proved()
+			return now.Now()-max(stored, proved) > silence
+		},
+	}
+}
+
+func newDrainer(c clock.Clock, g *gossiper.Gossiper, v *resolver.Resolver) *drainer.Drainer {
 	return &drainer.Drainer{
-		Clock: c, Leave: g.Leave,
-		Lifetime: func() clock.Millis { return source.Current().Limits.WithDefaults().AddressLifetimeMS },
-		Spread:   func() clock.Millis { return drainer.Spread(len(g.Members()), gossiper.TickInterval) },
+		Clock: c, Leave: g.Leave, Lifetime: v.Lifetime,
+		Spread: func() clock.Millis { return drainer.Spread(len(g.Members()), gossiper.TickInterval) },
 	}
 }
 
@@ -89,10 +102,26 @@
 		page(router)
 	}
 	accept := &listener.Listener{Source: n.Source, Clock: n.Clock, Handler: n.Handler}
-	router.PathPrefix("/").Handler(n.Drainer.Handler(accept))
+	router.PathPrefix("/").Handler(n.Drainer.Handler(whenReady(n.Configurer.Ready, accept)))
 	return router
 }
 
+// startRetry tells callers when a daemon that has just started may be ready.
+const startRetry = 1 * clock.Second
+
+// whenReady refuses requests until the configuration in force is known.
+func whenReady(ready func() bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ready() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		refusal := refuser.New(http.StatusServiceUnavailable, "not ready", "the configuration in force is not known here yet")
+		refusal.RetryAfter = startRetry
+		refusal.Write(w)
+	})
+}
+
 // Bounds towards callers.
 const (
 	// headerTimeout is the time that a caller may take to send its headers.
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/loader"
+)
+
+// Names and tokens of the example that a fleet runs.
+const (
+	operatorToken = "operator-token"
+	callerToken   = "families-token"
+	fleetPatience = 30 * time.Second
+	logBytes      = 8000
+)
+
+// fleet is a few real daemons with the stand-ins of the demo, as processes.
+type fleet struct {
+	t       *testing.T
+	folder  string
+	ports   map[string]string
+	daemons []*exec.Cmd
+	regions []string
+}
+
+// newFleet builds the programs, starts the stand-ins and one daemon for each
+// of the regions, brings the demo's inventory and rules in force as changed by
+// edit, and waits until all daemons are ready.
+func newFleet(t *testing.T, edit func(*inventory.Config), regions ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, folder: t.TempDir(), ports: map[string]string{}, regions: regions}
+	t.Cleanup(f.logs)
+	for program, folder := range map[string]string{"yuccaspread": ".", "yuccastandin": "../standin"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(f.folder, program), folder)
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", program, err, out)
+		}
+	}
+	f.reserve("PLATFORM", "ENGINE1", "ENGINE2", "ENGINE3", "SERVICE1", "DAEMON1", "DAEMON2", "DAEMON3", "PEER1", "PEER2", "PEER3")
+	for i := range regions {
+		f.reserve(fmt.Sprintf("LISTEN_%d", i), fmt.Sprintf("PEERLISTEN_%d", i))
+	}
+	f.run("yuccastandin", f.fill("standin"))
+	f.await("the platform", func() bool { return f.get("PLATFORM", "/vms", nil) == nil })
+	f.daemons = make([]*exec.Cmd, len(regions))
+	for i := range regions {
+		f.start(i)
+		if i == 0 {
+			f.awaitReady(i)
+			f.apply(edit)
+		}
+	}
+	for i := range regions {
+		f.awaitReady(i)
+	}
+	f.awaitInForce(1, len(regions))
+	return f
+}
+
+// logs shows the ends of the daemons' logs where the test has failed.
+func (f *fleet) logs() {
+	if !f.t.Failed() {
+		return
+	}
+	names, _ := filepath.Glob(filepath.Join(f.folder, "daemon-*.log"))
+	for _, name := range names {
+		content, _ := os.ReadFile(name)
+		f.t.Logf("%s\n%s", name, content[max(0, len(content)-logBytes):])
+	}
+}
+
+// reserve finds ports that are free at this moment.
+func (f *fleet) reserve(names ...string) {
+	for _, name := range names {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.t.Cleanup(func() { _ = socket.Close() })
+		f.ports[name] = fmt.Sprint(socket.Addr().(*net.TCPAddr).Port)
+		_ = socket.Close()
+	}
+}
+
+// fill writes a file of the demo with the ports filled in.
+func (f *fleet) fill(name string) (path string) {
+	content, err := os.ReadFile("../examples/demo/" + name + ".toml")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text := string(content)
+	for name, port := range f.ports {
+		text = strings.ReplaceAll(text, "@"+name+"@", port)
+	}
+	return f.write(name, text)
+}
+
+func (f *fleet) write(name, text string) (path string) {
+	path = filepath.Join(f.folder, name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// run starts a program that is killed at the end of the test.
+func (f *fleet) run(program, settings string) *exec.Cmd {
+	cmd := exec.Command(filepath.Join(f.folder, program), "--settings", settings)
+	log, err := os.OpenFile(settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd.Stdout, cmd.Stderr = log, log
+	if err = cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = log.Close()
+	})
+	return cmd
+}
+
+// start starts the daemon, for the first time or again at the same addresses.
+func (f *fleet) start(i int) {
+	var seeds []string
+	for j := range f.regions {
+		seeds = append(seeds, fmt.Sprintf("%q", "127.0.0.1:"+f.ports[fmt.Sprintf("PEERLISTEN_%d", j)]))
+	}
+	sum := "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e"
+	settings := fmt.Sprintf("name = \"entry-%d\"\nregion = %q\nfailure_domain = %q\nseeds = [%s]\n"+
+		"listen = \"127.0.0.1:%s\"\npeer_listen = \"127.0.0.1:%s\"\nplatform = \"http://127.0.0.1:%s\"\nbootstrap_token_sha256 = %q\n",
+		i, f.regions[i], f.regions[i]+"-1", strings.Join(seeds, ", "),
+		f.ports[fmt.Sprintf("LISTEN_%d", i)], f.ports[fmt.Sprintf("PEERLISTEN_%d", i)], f.ports["PLATFORM"], sum)
+	f.daemons[i] = f.run("yuccaspread", f.write(fmt.Sprintf("daemon-%d", i), settings))
+}
+
+func (f *fleet) awaitReady(i int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("daemon %d", i), func() bool { return f.get(fmt.Sprintf("LISTEN_%d", i), "/readyz", nil) == nil })
+}
+
+// stop begins a planned stop, by signal or by order, and checks that the
+// daemon exits with status 0.
+func (f *fleet) stop(i int, order bool) {
+	f.t.Helper()
+	err := f.daemons[i].Process.Signal(syscall.Signal(0))
+	if order {
+		err = f.call(http.MethodPost, fmt.Sprintf("LISTEN_%d", i), "/v1/admin/drain", nil, nil)
+	} else if err == nil {
+		err = f.daemons[i].Process.Signal(syscall.SIGTERM)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.daemons[i].Wait(); err != nil {
+		f.t.Errorf("daemon %d: %v", i, err)
+	}
+}
+
+// await polls until done tells true.
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(fleetPatience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: not in %v", what, fleetPatience)
+}
+
+// call sends a request as the operator and decodes a 2xx reply.
+func (f *fleet) call(method, port, path string, body, into any) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fleetPatience)
+	defer cancel()
+	content, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://127.0.0.1:"+f.ports[port]+path, bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	reply, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode/100 != 2 {
+		return fmt.Errorf("%s: %s", res.Status, reply)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(reply, into)
+}
+
+func (f *fleet) get(port, path string, into any) (err error) {
+	return f.call(http.MethodGet, port, path, nil, into)
+}
+
+// apply brings the demo's inventory and rules in force.
+func (f *fleet) apply(edit func(*inventory.Config)) {
+	f.t.Helper()
+	var wanted inventory.Config
+	for _, name := range []string{"inventory", "rules"} {
+		content, err := os.ReadFile(f.fill(name))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if err = loader.Decode(content, &wanted); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	edit(&wanted)
+	delta, err := inventory.Config{}.Diff(wanted)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	delta.ChangeID = "first"
+	if err = f.call(http.MethodPost, "LISTEN_0", "/v1/admin/config", delta, nil); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// status is the part of the status that the tests read.
+type status struct {
+	Accepted int64 `json:"accepted"`
+	InForce  int   `json:"in_force"`
+	Daemons  int   `json:"daemons"`
+}
+
+func (f *fleet) awaitInForce(revision int64, daemons int) {
+	f.t.Helper()
+	want := status{revision, daemons, daemons}
+	var got status
+	f.await(fmt.Sprintf("in force %+v, got %+v", want, got), func() bool {
+		return f.get("LISTEN_0", "/v1/admin/status", &got) == nil && got == want
+	})
+}
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -61,6 +61,8 @@
 	// remote is the rest of the present round of probes in other regions.
 	remote []string
 	seeds  []string
+	// changed are the rows whose state has changed in this call of Handle.
+	changed []Member
 	// reported is what is known of this daemon's load before it is told.
 	reported Report
 
@@ -95,11 +97,23 @@
 
 // Handle takes one message at the reading now and returns what to do.
 func (c *Core) Handle(now clock.Millis, m Message) []Effect {
+	effects := c.dispatch(now, m)
+	for _, changed := range c.changed {
+		effects = append(effects, Changed{changed})
+	}
+	c.changed = nil
+	return effects
+}
+
+func (c *Core) dispatch(now clock.Millis, m Message) []Effect {
 	switch m := m.(type) {
 	case Tick:
 		return c.tick(now)
 	case Seeds:
 		c.seeds = slices.Clone(m.Addresses)
+		if len(c.Members()) == 1 {
+			return c.rejoin()
+		}
 	case Received:
 		return []Effect{Reply{c.received(now, m.Packet)}}
 	case Answered:
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -141,6 +141,10 @@
 // do handles the message and carries out the effects in the background.
 func (g *Gossiper) do(ctx context.Context, m Message) {
 	for _, e := range g.handle(m) {
+		if changed, found := e.(Changed); found {
+			g.log(changed.Member)
+			continue
+		}
 		g.calls.Go(func() { g.carryOut(ctx, e) })
 	}
 }
@@ -182,10 +186,14 @@
 		g.exchange(ctx, e)
 	case Reach:
 		g.reach(ctx, e)
-	case Reply:
+	case Reply, Changed:
 	}
 }
 
+func (*Gossiper) log(m Member) {
+	klog.InfoS("member", "member", m.Name, "region", m.Region, "state", m.State.String(), "incarnation", m.Incarnation)
+}
+
 // exchange tries a pooled connection first. Where that stays silent, a new
 // one tells whether the member or only the connection is gone.
 func (g *Gossiper) exchange(ctx context.Context, e Exchange) {
@@ -263,11 +271,14 @@
 		return nil, errNoSender
 	}
 	for _, e := range (*Gossiper)(s).handle(Received{Packet: decode(in)}) {
-		if reply, found := e.(Reply); found {
-			return encode(reply.Packet), nil
+		switch e := e.(type) {
+		case Reply:
+			out = encode(e.Packet)
+		case Changed:
+			(*Gossiper)(s).log(e.Member)
 		}
 	}
-	return nil, errNoSender
+	return out, nil
 }
 
 // Reach implements wire.DRPCGossipServer.
--- a/daemon/gossiper/member.go
+++ b/daemon/gossiper/member.go
@@ -1,7 +1,11 @@
 // Package gossiper knows which daemons are alive.
 package gossiper
 
-import "yuccaspread/common/clock"
+import (
+	"fmt"
+
+	"yuccaspread/common/clock"
+)
 
 // State is what is known of a daemon.
 type State int
@@ -14,6 +18,22 @@
 	Dead
 )
 
+// String returns the state in snake case, as logs and metrics show it.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return fmt.Sprintf("state_%d", int(s))
+	}
+}
+
 // Member is one daemon as the others know it.
 type Member struct {
 	// Name is the name of the VM.
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -46,11 +46,15 @@
 	switch {
 	case !found:
 		c.rows[m.Name] = &row{Member: m, since: now}
+		c.changed = append(c.changed, m)
 		if m.State != Dead {
 			c.news.add(m.Name, false)
 		}
 	case m.Incarnation > old.Incarnation,
 		m.Incarnation == old.Incarnation && m.State > old.State:
+		if m.State != old.State {
+			c.changed = append(c.changed, m)
+		}
 		old.Member = m
 		old.since = now
 		c.news.add(m.Name, false)
--- a/daemon/gossiper/messages.go
+++ b/daemon/gossiper/messages.go
@@ -83,6 +83,12 @@
 	Packet Packet
 }
 
+// Changed tells that another daemon is new or has another state.
+type Changed struct {
+	Member Member
+}
+
+func (Changed) effect()  {}
 func (Exchange) effect() {}
 func (Reach) effect()    {}
 func (Reply) effect()    {}
--- a/daemon/gossiper/probe.go
+++ b/daemon/gossiper/probe.go
@@ -27,7 +27,7 @@
 			effects = append(effects, c.exchange(r, false))
 		}
 	}
-	if now-c.lastRejoin >= rejoinInterval {
+	if now-c.lastRejoin >= rejoinInterval || len(c.Members()) == 1 {
 		c.lastRejoin = now
 		effects = append(effects, c.rejoin()...)
 	}
@@ -167,6 +167,7 @@
 func (c *Core) setState(now clock.Millis, r *row, state State) {
 	r.State = state
 	r.since = now
+	c.changed = append(c.changed, r.Member)
 	c.news.add(r.Name, false)
 }
 
--- a/daemon/resolver/resolver.go
+++ b/daemon/resolver/resolver.go
@@ -11,8 +11,12 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/refuser"
 )
 
+// startRetry tells callers when a daemon that has just started may know more.
+const startRetry = 1 * clock.Second
+
 // Address is one daemon in an answer.
 type Address struct {
 	Address string `json:"address"`
@@ -37,6 +41,9 @@
 type Resolver struct {
 	Source  inventory.Source
 	Members Members
+	// Ready tells whether this daemon knows the configuration in force; nil
+	// stands for always. Without it this daemon names others alone.
+	Ready func() bool
 	// CutOff tells that this daemon reaches neither the platform nor any other
 	// daemon; nil stands for never.
 	CutOff func() bool
@@ -48,8 +55,15 @@
 }
 
 func (v *Resolver) serve(w http.ResponseWriter, r *http.Request) {
+	answer := v.Answer(r.URL.Query().Get("region"))
+	if len(answer.Addresses) == 0 {
+		refusal := refuser.New(http.StatusServiceUnavailable, "not ready", "this daemon does not know the others yet")
+		refusal.RetryAfter = startRetry
+		refusal.Write(w)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v.Answer(r.URL.Query().Get("region")))
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
 // Answer returns the answer for a caller of the region; an empty one stands
@@ -61,13 +75,26 @@
 	}
 	config := v.Source.Current()
 	members := v.Members.Known()
+	if v.Ready != nil && !v.Ready() {
+		members = filter(members, func(m gossiper.Member) bool { return m.Name != self.Name })
+	}
 	if v.CutOff != nil && v.CutOff() {
 		members = withoutProof(members, self.Name)
 	}
 	return Answer{
 		Addresses:  Order(members, config.Regions, region, rand.Float64),
-		LifetimeMS: config.Limits.WithDefaults().AddressLifetimeMS,
+		LifetimeMS: v.Lifetime(),
+	}
+}
+
+// Lifetime returns how long callers may keep an answer given now. Before the
+// lifetime in force is known it is the least one, for a longer one could
+// outlast the planned stop of a daemon that the answer names.
+func (v *Resolver) Lifetime() clock.Millis {
+	if v.Ready != nil && !v.Ready() {
+		return inventory.MinAddressLifetime
 	}
+	return v.Source.Current().Limits.WithDefaults().AddressLifetimeMS
 }
 
 // withoutProof returns a copy in which the named member counts as suspected.
--- a/daemon/resolver/resolver_test.go
+++ b/daemon/resolver/resolver_test.go
@@ -66,3 +66,30 @@
 		t.Fatalf("got %v", got)
 	}
 }
+
+// known is a Members that never changes.
+type known []gossiper.Member
+
+func (k known) Self() gossiper.Member    { return k[0] }
+func (k known) Known() []gossiper.Member { return k }
+
+type source inventory.Config
+
+func (s source) Current() *inventory.Config { return (*inventory.Config)(&s) }
+
+func TestDaemonThatHasJustStartedNamesOthersForAShortTime(t *testing.T) {
+	ready := false
+	v := &resolver.Resolver{
+		Source:  source{},
+		Members: known{member("a1", "a", gossiper.Alive, 0, 0), member("a2", "a", gossiper.Alive, 1, 0)},
+		Ready:   func() bool { return ready },
+	}
+	got := v.Answer("a")
+	if len(got.Addresses) != 1 || got.Addresses[0].Address != "a2" || got.LifetimeMS != inventory.MinAddressLifetime {
+		t.Fatalf("before it is ready: %+v", got)
+	}
+	ready = true
+	if got = v.Answer("a"); got.LifetimeMS != inventory.DefaultAddressLifetime {
+		t.Fatalf("once it is ready: %+v", got)
+	}
+}
