--- a/operator/control.go
+++ b/operator/control.go
@@ -79,7 +79,14 @@
 		c.diffCommand(),
 		c.getCommand(),
 		c.importCommand(),
+		c.statusCommand(),
+		c.watchCommand(),
+		c.historyCommand(),
+		c.undoCommand(),
+		c.movesCommand(),
+		c.drainCommand(),
 		c.addressesCommand(),
+		c.auditCommand(),
 	}
 }
 
