Flight recorder in the daemon; tests that earlier ones let through

Cause: a record has to be taken where decisions are made; three changed lines (holding upstreams for a higher tier, no credit for late organisations, a repeated lowest tier) were noticed by no test. Change: schedulers run behind the recorder, off by default; a setting and /v1/admin/recorder switch it and read it; tests for those lines.

--- a/daemon/administrator/administrator.go
+++ b/daemon/administrator/administrator.go
@@ -14,6 +14,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/configurer"
+	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -43,6 +44,8 @@
 	BootstrapTokenSHA256 string
 	// Stop begins a planned stop of this daemon; nil refuses it.
 	Stop func()
+	// Recorder is the flight recorder; nil for none.
+	Recorder *recorder.Recorder
 
 	once sync.Once
 	// strangers bounds calls without a known token.
@@ -72,6 +75,8 @@
 	get("/status", a.getStatus)
 	get("/audit", a.getAudit)
 	post("/drain", a.postDrain)
+	get("/recorder", a.getRecord)
+	post("/recorder", a.postRecorder)
 }
 
 // guard admits operators with the role, within their rate.
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -19,6 +19,7 @@
 	"yuccaspread/daemon/drainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
 )
@@ -38,9 +39,10 @@
 	)
 }
 
-func newAdministrator(s settings, c *configurer.Configurer, now clock.Clock, stopper fx.Shutdowner) *administrator.Administrator {
+func newAdministrator(s settings, c *configurer.Configurer, now clock.Clock, stopper fx.Shutdowner, r *recorder.Recorder) *administrator.Administrator {
 	return &administrator.Administrator{
 		Configurer: c, Clock: now, Daemon: s.Name, BootstrapTokenSHA256: s.BootstrapTokenSHA256,
+		Recorder: r,
 		Stop: func() {
 			if err := stopper.Shutdown(); err != nil {
 				klog.ErrorS(err, "planned stop not begun")
--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
@@ -15,8 +17,8 @@
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
 	"yuccaspread/daemon/limiter"
+	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/reserver"
-	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
 	"yuccaspread/daemon/watcher"
 )
@@ -53,11 +55,14 @@
 	Service peerService `group:"peer_services"`
 }
 
-func newGranter(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, registerer prometheus.Registerer) granterOut {
+func newGranter(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, records *recorder.Recorder, registerer prometheus.Registerer) granterOut {
+	var shards atomic.Int64
 	g := &granter.Granter{
 		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
-		NewDecider: func() granter.Decider { return &scheduler.State{} },
-		TellPeer:   granter.Teller(peers),
+		NewDecider: func() granter.Decider {
+			return &recorder.Scheduling{Recorder: records, Shard: fmt.Sprint("shard-", shards.Add(1))}
+		},
+		TellPeer: granter.Teller(peers),
 	}
 	service := func(mux drpc.Mux) error {
 		return wire.DRPCRegisterReservation(mux, &granter.Server{Granter: g})
--- a/daemon/queuer/queuer_test.go
+++ b/daemon/queuer/queuer_test.go
@@ -123,3 +123,28 @@
 		t.Fatal("the skipped one is lost")
 	}
 }
+
+// TestNewcomerHasNoCredit lets an organisation come late: it gets its share
+// from then on, not what it could have had before.
+func TestNewcomerHasNoCredit(t *testing.T) {
+	q := queuer.Queue[int]{}
+	for i := range 40 {
+		q.Push(&entry{Organisation: "early", Deadline: clock.Millis(i), Cost: 10})
+	}
+	for range 20 {
+		e, _ := q.Head()
+		q.Take(e)
+	}
+	for i := range 10 {
+		q.Push(&entry{Organisation: "late", Deadline: clock.Millis(i), Cost: 10})
+	}
+	served := map[string]int{}
+	for range 10 {
+		e, _ := q.Head()
+		q.Take(e)
+		served[e.Organisation]++
+	}
+	if served["early"] != 5 || served["late"] != 5 {
+		t.Fatalf("served %v", served)
+	}
+}
--- a/daemon/recorder/recorder_test.go
+++ b/daemon/recorder/recorder_test.go
@@ -10,11 +10,6 @@
 	"yuccaspread/daemon/scheduler"
 )
 
-func add(r *recorder.Recorder, now clock.Millis, m scheduler.Message) {
-	kind := scheduler.Kind(m)
-	r.Add(now, scheduler.Package, "s", kind, scheduler.Replaces(kind), m)
-}
-
 // TestRecordReplays reads a record back and gets the effects of the original.
 func TestRecordReplays(t *testing.T) {
 	messages := []scheduler.Message{
@@ -25,12 +20,13 @@
 		scheduler.Cancel{ID: scheduler.AskID{Daemon: "d", Number: 1}},
 	}
 	r := recorder.Recorder{Size: 3}
+	original := recorder.Scheduling{Recorder: &r, Shard: "s"}
 	for i, m := range messages {
 		// Switched on late, so that the upstreams are known from before only.
 		if i == 2 {
 			r.Switch(true)
 		}
-		add(&r, clock.Millis(i), m)
+		original.Update(clock.Millis(i), m)
 	}
 	var file bytes.Buffer
 	if err := r.Write(&file); err != nil {
@@ -60,7 +56,8 @@
 
 func TestOffRecordsNothing(t *testing.T) {
 	r := recorder.Recorder{}
-	add(&r, 1, scheduler.Tick{})
+	original := recorder.Scheduling{Recorder: &r}
+	original.Update(1, scheduler.Tick{})
 	if len(r.Records()) != 0 {
 		t.Fatal("a recorder that is off records")
 	}
--- a/daemon/scheduler/faults_test.go
+++ b/daemon/scheduler/faults_test.go
@@ -254,3 +254,62 @@
 		t.Fatal("an upstream that is down got work")
 	}
 }
+
+// TestHigherTierHoldsUpstreams has a long prompt of a higher tier that does
+// not fit beside another one, and a short one of a lower tier that would.
+func TestHigherTierHoldsUpstreams(t *testing.T) {
+	b := newBench(4)
+	b.send(scheduler.Rules{Tiers: []inventory.Tier{{FirstTokenMS: 860}}})
+	first, long, short := b.ask(1, 0), b.ask(2, 0), b.ask(3, 2)
+	first.PromptTokens, long.PromptTokens = 5000, 5000
+	b.send(first, long, short)
+	if b.granted[1] == "" || b.granted[2] != "" || b.granted[3] != "" {
+		t.Fatalf("granted %v", b.granted)
+	}
+	b.send(scheduler.FirstToken{ID: id(1)})
+	if b.granted[2] == "" {
+		t.Fatal("the long prompt waits although nothing is before it")
+	}
+}
+
+// TestShedsWhenUpstreamsSlowDown learns that what waits is too late already.
+func TestShedsWhenUpstreamsSlowDown(t *testing.T) {
+	b := newBench(1)
+	b.send(b.ask(1, 0))
+	waiting := b.ask(2, 1)
+	waiting.Deadline = b.now + 25*clock.Second
+	b.send(scheduler.Confirm{ID: id(1)}, scheduler.FirstToken{ID: id(1)}, waiting)
+	b.later(20 * clock.Second)
+	b.send(whole(1))
+	if reason, refused := b.refused[2]; !refused || reason != scheduler.ReasonDeadline {
+		t.Fatalf("granted %v, refused %v", b.granted, b.refused)
+	}
+}
+
+// TestTellsPressureUntilItEnds repeats the lowest tier while a tier is shed,
+// for the others forget it, and takes it back afterwards.
+func TestTellsPressureUntilItEnds(t *testing.T) {
+	b := newBench(1)
+	b.send(b.ask(1, 0), scheduler.Confirm{ID: id(1)})
+	told := 0
+	for i := range uint64(60) {
+		late := b.ask(10+i, 1)
+		late.Deadline = b.now + 2*clock.Second
+		b.send(late)
+		b.lowest = -1
+		b.later(100 * clock.Millisecond)
+		if b.lowest == 1 {
+			told++
+		}
+	}
+	if told < 4 {
+		t.Fatalf("told %d times in 4 s", told)
+	}
+	b.send(whole(1))
+	// What still waits is shed first.
+	b.later(10 * clock.Second)
+	b.later(10 * clock.Second)
+	if b.lowest != 2 {
+		t.Fatalf("the lowest tier stays %d", b.lowest)
+	}
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -30,4 +30,6 @@
 	// PeerTLS holds the key files towards other daemons.
 	PeerTLS reloader.Files  `toml:"peer_tls"`
 	Trace   tracer.Settings `toml:"trace"`
+	// Recorder is the flight recorder.
+	Recorder recordingSettings `toml:"recorder"`
 }
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -16,6 +16,7 @@
 		peerDuty(),
 		membershipDuty(),
 		configurationDuty(),
+		recordingDuty(),
 		reservationDuty(),
 		dispatchDuty(),
 		ingressDuty(),
