Platform calls within bounds; faults of the stand-in switched while it runs

Cause: calls to the platform were single tries without rate limit or breaker, and the stand-in could not fail.

--- a/common/platform/http.go
+++ b/common/platform/http.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"syscall"
+
+	"yuccaspread/common/clock"
 )
 
 // maxReplyBytes bounds what is read of one reply.
@@ -22,7 +24,7 @@
 // DELETE as S3 does.
 func NewHTTP(base string, doer *http.Client) Client {
 	if doer == nil {
-		doer = http.DefaultClient
+		doer = newDoer()
 	}
 	edge := edge{base: strings.TrimRight(base, "/"), doer: doer}
 	return Client{
@@ -33,6 +35,23 @@
 	}
 }
 
+// Bounds of the connections to the platform.
+const (
+	dialTimeout        = 1 * clock.Second
+	idleTimeout        = 30 * clock.Second
+	maxIdleConnections = 64
+)
+
+func newDoer() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		IdleConnTimeout:     idleTimeout.Duration(),
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
+	}}
+}
+
 // edge sends single calls; it retries nothing.
 type edge struct {
 	base string
@@ -61,6 +80,10 @@
 		if mutates && !errors.Is(err, syscall.ECONNREFUSED) {
 			certainty = Unknown
 		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			// The connections may have gone silent; the next call opens a new one.
+			e.doer.CloseIdleConnections()
+		}
 		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -83,12 +106,12 @@
 	case status == http.StatusNotFound:
 		return ErrNotFound
 	case status/100 == 4 || status == http.StatusServiceUnavailable:
-		return fmt.Errorf("status %d: %s", status, firstLine(reply))
+		return &StatusError{Status: status, Text: firstLine(reply)}
 	default:
 		if mutates {
 			*certainty = Unknown
 		}
-		return fmt.Errorf("status %d: %s", status, firstLine(reply))
+		return &StatusError{Status: status, Text: firstLine(reply)}
 	}
 }
 
--- a/common/platform/platform.go
+++ b/common/platform/platform.go
@@ -57,6 +57,19 @@
 	return e.Err
 }
 
+// StatusError is the cause of an Error where the platform answered with a
+// status other than 2xx and 404.
+type StatusError struct {
+	Status int
+	// Text is the first line of the answer.
+	Text string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Text)
+}
+
 // CertaintyOf returns what err tells about the effect of a call: Done for
 // nil, Unknown for an error of another kind.
 func CertaintyOf(err error) Certainty {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -18,6 +18,9 @@
 	FailureDomain string `toml:"failure_domain" validate:"required"`
 	// Platform is the base URL of the platform's services.
 	Platform string `toml:"platform" validate:"required,url"`
+	// PlatformCallsPerSecond bounds this daemon's calls to the platform; 0
+	// stands for a default that suits eight daemons.
+	PlatformCallsPerSecond float64 `toml:"platform_calls_per_second" validate:"gte=0"`
 	// Seeds are the peer addresses of daemons to join besides those that the
 	// platform lists; they may be down.
 	Seeds []string `toml:"seeds" validate:"dive,hostname_port"`
--- /dev/null
+++ b/standin/injector/injector_test.go
@@ -0,0 +1,105 @@
+package injector_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/gorilla/mux"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/platform"
+	"yuccaspread/standin/injector"
+	"yuccaspread/standin/lister"
+	"yuccaspread/standin/storer"
+)
+
+func start(t *testing.T) (client platform.Client, faults *injector.Injector, list *lister.Lister) {
+	t.Helper()
+	store := &storer.Storer{}
+	list = &lister.Lister{}
+	router := mux.NewRouter()
+	store.Register(router)
+	list.Register(router)
+	faults = &injector.Injector{Older: store.Older, Lag: list.Lag}
+	server := httptest.NewServer(faults.Handler(router))
+	t.Cleanup(server.Close)
+	return platform.NewHTTP(server.URL, server.Client()), faults, list
+}
+
+func put(t *testing.T, table platform.Table, value string) error {
+	t.Helper()
+	_, err := table.Apply(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte(value)}}})
+	return err
+}
+
+func want(t *testing.T, table platform.Table, value string) {
+	t.Helper()
+	rows, err := table.Read(t.Context(), "k")
+	if err != nil || len(rows) != 1 || string(rows[0].Value) != value {
+		t.Fatalf("want %q, got %v, %v", value, rows, err)
+	}
+}
+
+func TestFaultsTellTheirCertainty(t *testing.T) {
+	client, faults, _ := start(t)
+	if err := put(t, client.Table, "1"); err != nil {
+		t.Fatal(err)
+	}
+	faults.Set(injector.Faults{Refuse: true})
+	if err := put(t, client.Table, "2"); platform.CertaintyOf(err) != platform.NotDone {
+		t.Fatalf("refused: %v", err)
+	}
+	faults.Set(injector.Faults{Outage: true})
+	if err := put(t, client.Table, "2"); err == nil || platform.CertaintyOf(err) != platform.Unknown {
+		t.Fatalf("outage: %v", err)
+	}
+	faults.Set(injector.Faults{})
+	want(t, client.Table, "1")
+	faults.Set(injector.Faults{LoseReplies: 1})
+	if err := put(t, client.Table, "3"); err == nil || platform.CertaintyOf(err) != platform.Unknown {
+		t.Fatalf("lost reply: %v", err)
+	}
+	want(t, client.Table, "3")
+}
+
+func TestWritesAboveTheLimitAreRefused(t *testing.T) {
+	client, faults, _ := start(t)
+	faults.Set(injector.Faults{WritesPerSecond: 1})
+	if err := put(t, client.Table, "1"); err != nil {
+		t.Fatal(err)
+	}
+	err := put(t, client.Table, "2")
+	var status *platform.StatusError
+	if !errors.As(err, &status) || status.Status != 429 || platform.CertaintyOf(err) != platform.NotDone {
+		t.Fatalf("got %v", err)
+	}
+	want(t, client.Table, "1")
+}
+
+func TestOlderStateIsReadUntilSwitchedOff(t *testing.T) {
+	client, faults, _ := start(t)
+	if err := put(t, client.Table, "1"); err != nil {
+		t.Fatal(err)
+	}
+	faults.Set(injector.Faults{OlderReads: true})
+	if err := put(t, client.Table, "2"); err != nil {
+		t.Fatal(err)
+	}
+	want(t, client.Table, "1")
+	faults.Set(injector.Faults{})
+	want(t, client.Table, "2")
+}
+
+func TestListLags(t *testing.T) {
+	client, faults, list := start(t)
+	list.Set([]platform.VM{{Name: "a"}})
+	faults.Set(injector.Faults{ListLagMS: clock.Hour})
+	if vms, err := client.VMList.VMs(t.Context()); err != nil || len(vms) != 0 {
+		t.Fatalf("an hour behind: %v, %v", vms, err)
+	}
+	faults.Set(injector.Faults{})
+	if vms, err := client.VMList.VMs(t.Context()); err != nil || len(vms) != 1 {
+		t.Fatalf("in time: %v, %v", vms, err)
+	}
+}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -15,6 +15,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/standin/answerer"
 	"yuccaspread/standin/generator"
+	"yuccaspread/standin/injector"
 	"yuccaspread/standin/lister"
 	"yuccaspread/standin/storer"
 )
@@ -27,9 +28,11 @@
 	all := map[string]http.Handler{}
 	if s.Platform.Listen != "" {
 		router := mux.NewRouter()
-		(&storer.Storer{}).Register(router)
-		(&lister.Lister{}).Register(router)
-		all[s.Platform.Listen] = router
+		store, list := &storer.Storer{}, &lister.Lister{}
+		store.Register(router)
+		list.Register(router)
+		faults := &injector.Injector{Older: store.Older, Lag: list.Lag}
+		all[s.Platform.Listen] = faults.Handler(router)
 	}
 	for _, e := range s.Engines {
 		router := mux.NewRouter()
--- a/standin/storer/storer.go
+++ b/standin/storer/storer.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +26,27 @@
 	// keys are the keys of rows, sorted.
 	keys    []string
 	objects map[string][]byte
+	// older answers reads in place of this Storer while it is not nil.
+	older *Storer
+}
+
+// Older makes reads see the present state until it is switched off, whatever
+// is written meanwhile.
+func (s *Storer) Older(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older = nil
+	if on {
+		s.older = &Storer{revision: s.revision, rows: maps.Clone(s.rows), keys: slices.Clone(s.keys)}
+	}
+}
+
+// reader returns what answers reads; s.mu is held.
+func (s *Storer) reader() *Storer {
+	if s.older != nil {
+		return s.older
+	}
+	return s
 }
 
 type row struct {
@@ -117,7 +139,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, s.find(req))
+	reply(w, s.reader().find(req))
 }
 
 func (s *Storer) transact(req txnRequest) txnResponse {
@@ -133,11 +155,16 @@
 	if !res.Succeeded {
 		ops = req.Failure
 	}
-	if slices.ContainsFunc(ops, func(o operation) bool { return o.Range == nil }) {
+	writes := slices.ContainsFunc(ops, func(o operation) bool { return o.Range == nil })
+	if writes {
 		s.revision++
 	}
+	from := s
+	if !writes && len(req.Compare) == 0 {
+		from = s.reader()
+	}
 	for _, op := range ops {
-		res.Responses = append(res.Responses, s.operate(op))
+		res.Responses = append(res.Responses, from.operate(op))
 	}
 	res.Header.Revision = s.revision
 	return res
