Upstreams that the platform takes away get no new work; metrics of members

Cause: only the inventory and the engine's own word kept new work away. Address answers leave out daemons that the list takes away. Gossip reads seeds from the same answers and tells the share of 1000 requests in progress as load. Conclusion: union of inventory, list and engine's word.

--- a/daemon/duty_configuration.go
+++ b/daemon/duty_configuration.go
@@ -10,6 +10,7 @@
 	"yuccaspread/daemon/configurer"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/retirer"
 )
 
 type configurerNeeds struct {
@@ -27,6 +28,7 @@
 	fx.Out
 
 	Configurer *configurer.Configurer
+	Retirer    *retirer.Retirer
 	Source     inventory.Source
 	Service    peerService `group:"peer_services"`
 }
@@ -34,7 +36,10 @@
 func configurationDuty() fx.Option {
 	return fx.Module("configuration",
 		fx.Provide(newConfigurer),
-		fx.Invoke(func(l fx.Lifecycle, c *configurer.Configurer) { runDuty(l, c.Run) }),
+		fx.Invoke(func(l fx.Lifecycle, c *configurer.Configurer, r *retirer.Retirer) {
+			runDuty(l, c.Run)
+			runDuty(l, r.Run)
+		}),
 	)
 }
 
@@ -45,5 +50,6 @@
 		Clock: n.Clock, Daemon: n.Settings.Name, Registerer: n.Registerer,
 	}
 	server := &configurer.Server{Configurer: c}
-	return configurerOut{Configurer: c, Source: c, Service: server.Register}
+	r := &retirer.Retirer{Next: c, List: n.Client.VMList}
+	return configurerOut{Configurer: c, Retirer: r, Source: r, Service: server.Register}
 }
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -22,6 +22,7 @@
 	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
+	"yuccaspread/daemon/retirer"
 )
 
 func ingressDuty() fx.Option {
@@ -55,9 +56,10 @@
 // this daemon takes itself for cut off.
 const silence = 10 * clock.Second
 
-func newResolver(g *gossiper.Gossiper, c *configurer.Configurer, now clock.Clock) *resolver.Resolver {
+func newResolver(g *gossiper.Gossiper, c *configurer.Configurer, r *retirer.Retirer, now clock.Clock) *resolver.Resolver {
 	return &resolver.Resolver{
 		Source: c, Members: g, Ready: c.Ready,
+		Retired: func(m gossiper.Member) bool { return r.DaemonLeaving(m.Name, m.PeerListen) },
 		CutOff: func() bool {
 			stored, _ := c.Stored()
 			proved, _ := g.Proved()
--- a/daemon/duty_membership.go
+++ b/daemon/duty_membership.go
@@ -1,16 +1,16 @@
 package main
 
 import (
-	"context"
-
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
-	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/platform"
 	"yuccaspread/daemon/configurer"
 	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/drainer"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/retirer"
 )
 
 type gossiperOut struct {
@@ -25,38 +25,44 @@
 func membershipDuty() fx.Option {
 	return fx.Module("membership",
 		fx.Provide(newGossiper),
-		fx.Invoke(func(l fx.Lifecycle, g *gossiper.Gossiper, c *configurer.Configurer) {
-			g.Report = func() gossiper.Report { return gossiper.Report{Revision: c.Current().Revision} }
-			runDuty(l, g.Run)
-		}),
+		fx.Invoke(joinMembers),
 	)
 }
 
-func newGossiper(s settings, c clock.Clock, peers *connector.Connector, client platform.Client) gossiperOut {
+// fullLoad is the number of requests in progress that counts as full load of
+// a daemon.
+const fullLoad = 1000
+
+// joinMembers gives the gossiper what it tells of this daemon and starts it.
+func joinMembers(l fx.Lifecycle, s settings, g *gossiper.Gossiper, c *configurer.Configurer, d *drainer.Drainer, r *retirer.Retirer) {
+	g.Report = func() gossiper.Report {
+		report := gossiper.Report{Load: min(1, float64(d.InProgress())/fullLoad)}
+		if c.Ready() {
+			report.Revision = c.Current().Revision
+		}
+		return report
+	}
+	g.Seeds = func() []string { return seeds(s, r.VMs()) }
+	runDuty(l, g.Run)
+}
+
+func newGossiper(s settings, c clock.Clock, peers *connector.Connector, registerer prometheus.Registerer) gossiperOut {
 	g := &gossiper.Gossiper{
 		Own: gossiper.Member{
 			Name: s.Name, Region: s.Region, FailureDomain: s.FailureDomain,
 			Listen: s.Listen, PeerListen: s.PeerListen, Incarnation: int64(c.Now()),
 		},
-		Clock: c, Connector: peers,
-		Seeds: func(ctx context.Context) []string { return seeds(ctx, s, client.VMList) },
+		Clock: c, Connector: peers, Registerer: registerer,
 	}
 	return gossiperOut{Gossiper: g, View: g, Service: g.Register}
 }
 
-// daemonRole marks entry VMs in the platform's list; their address there is
-// the one for other daemons.
-const daemonRole = "daemon"
-
-// seeds returns the addresses of the settings and of the platform's list.
-func seeds(ctx context.Context, s settings, list platform.VMList) []string {
+// seeds returns the addresses of the settings and of the platform's list,
+// where the address of a daemon is the one for other daemons.
+func seeds(s settings, vms []platform.VM) []string {
 	addresses := append([]string(nil), s.Seeds...)
-	vms, err := list.VMs(ctx)
-	if err != nil {
-		klog.ErrorS(err, "list of VMs not read")
-	}
 	for _, vm := range vms {
-		if vm.Role == daemonRole {
+		if vm.Role == retirer.RoleDaemon {
 			addresses = append(addresses, vm.Address)
 		}
 	}
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -111,9 +111,6 @@
 		return c.tick(now)
 	case Seeds:
 		c.seeds = slices.Clone(m.Addresses)
-		if len(c.Members()) == 1 {
-			return c.rejoin()
-		}
 	case Received:
 		return []Effect{Reply{c.received(now, m.Packet)}}
 	case Answered:
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
 
@@ -21,8 +22,6 @@
 	exchangeTimeout = 400 * clock.Millisecond
 	// reachTimeout bounds the probe through helpers.
 	reachTimeout = 1500 * clock.Millisecond
-	// seedInterval is the time between two looks for seeds.
-	seedInterval = 10 * clock.Second
 	// settleTime is how long other daemons are looked for at the start before
 	// this one takes itself for alone.
 	settleTime = 2 * clock.Second
@@ -40,9 +39,11 @@
 	Clock     clock.Clock
 	Connector *connector.Connector
 	// Seeds returns addresses at which other daemons may be found; nil for none.
-	Seeds func(ctx context.Context) []string
+	Seeds func() []string
 	// Report returns the load and the revision in force here; nil for zeros.
 	Report func() Report
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
 
 	once sync.Once
 	// mu guards core.
@@ -55,7 +56,6 @@
 // Run takes part in the membership until ctx ends, then says goodbye.
 func (g *Gossiper) Run(ctx context.Context) {
 	g.setup()
-	go g.findSeeds(ctx)
 	ticker := time.NewTicker(TickInterval.Duration())
 	defer ticker.Stop()
 	g.tick(ctx)
@@ -128,6 +128,9 @@
 	g.once.Do(func() {
 		now := g.Clock.Now()
 		g.core = NewCore(g.Own, now, uint64(now))
+		if g.Registerer != nil {
+			g.Registerer.MustRegister(counter{g})
+		}
 	})
 }
 
@@ -150,28 +153,15 @@
 }
 
 func (g *Gossiper) tick(ctx context.Context) {
+	if g.Seeds != nil {
+		g.do(ctx, Seeds{Addresses: g.Seeds()})
+	}
 	if g.Report != nil {
 		g.do(ctx, g.Report())
 	}
 	g.do(ctx, Tick{})
 }
 
-func (g *Gossiper) findSeeds(ctx context.Context) {
-	if g.Seeds == nil {
-		return
-	}
-	ticker := time.NewTicker(seedInterval.Duration())
-	defer ticker.Stop()
-	for {
-		g.do(ctx, Seeds{Addresses: g.Seeds(ctx)})
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // farewell tells the others of the end and waits for calls in progress.
 func (g *Gossiper) farewell(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout.Duration())
--- a/daemon/resolver/resolver.go
+++ b/daemon/resolver/resolver.go
@@ -44,6 +44,9 @@
 	// Ready tells whether this daemon knows the configuration in force; nil
 	// stands for always. Without it this daemon names others alone.
 	Ready func() bool
+	// Retired tells that the platform is about to take a daemon away, whether
+	// the daemon knows it or not; nil stands for none.
+	Retired func(m gossiper.Member) bool
 	// CutOff tells that this daemon reaches neither the platform nor any other
 	// daemon; nil stands for never.
 	CutOff func() bool
@@ -78,9 +81,7 @@
 	if v.Ready != nil && !v.Ready() {
 		members = filter(members, func(m gossiper.Member) bool { return m.Name != self.Name })
 	}
-	if v.CutOff != nil && v.CutOff() {
-		members = withoutProof(members, self.Name)
-	}
+	members = v.doubt(members, self.Name)
 	return Answer{
 		Addresses:  Order(members, config.Regions, region, rand.Float64),
 		LifetimeMS: v.Lifetime(),
@@ -97,11 +98,17 @@
 	return v.Source.Current().Limits.WithDefaults().AddressLifetimeMS
 }
 
-// withoutProof returns a copy in which the named member counts as suspected.
-func withoutProof(members []gossiper.Member, name string) []gossiper.Member {
+// doubt returns a copy in which members that are about to be taken away count
+// as leaving, and this daemon as suspected while it is cut off.
+func (v *Resolver) doubt(members []gossiper.Member, self string) []gossiper.Member {
+	cutOff := v.CutOff != nil && v.CutOff()
 	copied := append([]gossiper.Member(nil), members...)
 	for i, m := range copied {
-		if m.Name == name && m.State == gossiper.Alive {
+		switch {
+		case m.State != gossiper.Alive:
+		case v.Retired != nil && v.Retired(m):
+			copied[i].State = gossiper.Leaving
+		case cutOff && m.Name == self:
 			copied[i].State = gossiper.Suspect
 		}
 	}
--- a/daemon/resolver/resolver_test.go
+++ b/daemon/resolver/resolver_test.go
@@ -93,3 +93,19 @@
 		t.Fatalf("once it is ready: %+v", got)
 	}
 }
+
+func TestDaemonCutOffOrRetiredIsNotNamedBesideAnother(t *testing.T) {
+	v := &resolver.Resolver{
+		Source:  source{},
+		Members: known{member("a1", "a", gossiper.Alive, 1, 0), member("a2", "a", gossiper.Alive, 1, 0)},
+		CutOff:  func() bool { return true },
+	}
+	if got := v.Answer("a").Addresses; len(got) != 1 || got[0].Address != "a2" {
+		t.Fatalf("cut off: %+v", got)
+	}
+	v.CutOff = nil
+	v.Retired = func(m gossiper.Member) bool { return m.Name == "a2" }
+	if got := v.Answer("a").Addresses; len(got) != 1 || got[0].Address != "a1" {
+		t.Fatalf("retired: %+v", got)
+	}
+}
--- /dev/null
+++ b/daemon/retirer/retirer_test.go
@@ -0,0 +1,66 @@
+package retirer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/platform"
+	"yuccaspread/daemon/retirer"
+)
+
+type source struct{ config *inventory.Config }
+
+func (s source) Current() *inventory.Config { return s.config }
+
+type list struct {
+	vms []platform.VM
+	err error
+}
+
+func (l *list) VMs(context.Context) ([]platform.VM, error) { return l.vms, l.err }
+
+func TestUpstreamsThatTheListNamesAreMarkedUntilTheyAreBack(t *testing.T) {
+	config := &inventory.Config{Revision: 3, Upstreams: []inventory.Upstream{
+		{Name: "u1", Address: "10.0.0.1:80"},
+		{Name: "u2", Address: "10.0.0.2:80"},
+		{Name: "u3", Address: "10.0.0.3:80"},
+		{Name: "u4", Address: "10.0.0.4:80", Leaving: true},
+	}}
+	vms := &list{}
+	r := &retirer.Retirer{Next: source{config}, List: vms}
+	want := func(step string, leaving ...bool) {
+		t.Helper()
+		if err := r.Poll(t.Context()); (err != nil) != (vms.err != nil) {
+			t.Fatal(err)
+		}
+		for i, u := range r.Current().Upstreams {
+			if u.Leaving != leaving[i] {
+				t.Errorf("%s: upstream %s leaving %v", step, u.Name, u.Leaving)
+			}
+		}
+		if before := r.Current(); r.Poll(t.Context()) == nil && before != r.Current() {
+			t.Errorf("%s: the same answer made another configuration", step)
+		}
+		if r.Current().Revision != 3 || config.Upstreams[0].Leaving {
+			t.Errorf("%s: the configuration itself was changed", step)
+		}
+	}
+	upstream := func(name, address string, leaving bool) platform.VM {
+		return platform.VM{Name: name, Address: address, Role: retirer.RoleUpstream, Leaving: leaving}
+	}
+	want("empty list", false, false, false, true)
+	vms.vms = []platform.VM{
+		upstream("u1", "", true), upstream("vm-2", "10.0.0.2", true), upstream("vm-3", "10.0.0.3:80", false),
+		{Name: "u3", Role: retirer.RoleDaemon, Leaving: true},
+	}
+	want("by name and by IP number", true, true, false, true)
+	vms.err = errors.New("down")
+	want("list down", true, true, false, true)
+	vms.err = nil
+	vms.vms = nil
+	want("gone from the list", true, true, false, true)
+	vms.vms = []platform.VM{upstream("u1", "", false), upstream("vm-2", "10.0.0.2", false)}
+	want("back", false, false, false, true)
+}
