Random messages against the scheduler, every effect checked

Cause: tests of single faults don't find what faults do together. Change: random asks, reports, deaths, lists, shares and departures; each grant is checked for place, room, version and tier, each ask for an answer.

--- a/daemon/queuer/queuer_test.go
+++ b/daemon/queuer/queuer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"flag"
+	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -12,6 +14,14 @@
 	"yuccaspread/daemon/queuer"
 )
 
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "12")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 type entry = queuer.Entry[int]
 
 // TestOrderAgainstList drives the queue with random operations and compares
--- /dev/null
+++ b/daemon/scheduler/random_test.go
@@ -0,0 +1,242 @@
+package scheduler_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "11")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// world is what a test knows of a scheduler from its messages and effects.
+type world struct {
+	t         *rapid.T
+	state     scheduler.State
+	now       clock.Millis
+	next      uint64
+	upstreams map[string]*inventory.Upstream
+	versions  map[string]string
+	draining  map[string]bool
+	down      map[string]bool
+	stopped   map[string]bool
+	waiting   map[scheduler.AskID]scheduler.Ask
+	running   map[scheduler.AskID]string
+}
+
+// TestRandomMessages sends random messages and checks each effect.
+func TestRandomMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			t: t, now: 1000, versions: map[string]string{}, draining: map[string]bool{}, down: map[string]bool{},
+			stopped: map[string]bool{}, waiting: map[scheduler.AskID]scheduler.Ask{}, running: map[scheduler.AskID]string{},
+		}
+		w.send(scheduler.Rules{
+			Tiers:  []inventory.Tier{{Rank: 0, FirstTokenMS: 860, TokenGapMS: 75}, {Rank: 1}, {Rank: 2}},
+			Limits: inventory.Limits{QueuePerShard: rapid.IntRange(1, 8).Draw(t, "queue")},
+		})
+		w.list()
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			w.now += clock.Millis(rapid.IntRange(0, 800).Draw(t, "time"))
+			w.step()
+		}
+		w.now += clock.Hour
+		w.send(scheduler.Tick{})
+		if len(w.waiting) > 0 {
+			t.Fatalf("%d asks got no answer", len(w.waiting))
+		}
+	})
+}
+
+func (w *world) step() {
+	t := w.t
+	switch rapid.SampledFrom([]string{"ask", "ask", "ask", "first", "end", "end", "cancel", "load", "health", "shares", "list", "gone", "tick"}).Draw(t, "step") {
+	case "ask":
+		w.ask()
+	case "first":
+		if id, some := w.any("first"); some {
+			w.send(scheduler.FirstToken{ID: id, CachedTokens: rapid.IntRange(0, 200).Draw(t, "cached")})
+		}
+	case "end":
+		if id, some := w.any("end"); some {
+			delete(w.running, id)
+			outcome := rapid.SampledFrom([]reserver.Outcome{reserver.Whole, reserver.Whole, reserver.Failed, reserver.Died}).Draw(t, "outcome")
+			w.send(scheduler.End{ID: id, Usage: reserver.Usage{Outcome: outcome, OutputTokens: rapid.IntRange(1, 300).Draw(t, "output")}})
+		}
+	case "cancel":
+		for _, id := range slices.SortedFunc(maps.Keys(w.waiting), compareID) {
+			delete(w.waiting, id)
+			w.send(scheduler.Cancel{ID: id})
+			break
+		}
+	case "load":
+		name := w.name()
+		if w.upstreams[name] == nil {
+			return
+		}
+		w.versions[name] = rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
+		w.draining[name] = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+		w.send(scheduler.Load{
+			Upstream: name, Time: w.now - clock.Millis(rapid.IntRange(0, 5000).Draw(t, "age")), Version: w.versions[name],
+			Leaving: w.draining[name], Running: rapid.IntRange(0, 6).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "queued"),
+		})
+	case "health":
+		name := w.name()
+		if w.upstreams[name] == nil {
+			return
+		}
+		w.down[name] = rapid.Bool().Draw(t, "down")
+		w.send(scheduler.Health{Upstream: name, Up: !w.down[name]})
+	case "shares":
+		w.stopped["v2"] = rapid.Bool().Draw(t, "stopped")
+		share := 0.3
+		if w.stopped["v2"] {
+			share = 0
+		}
+		w.send(scheduler.Shares{Shares: map[string]float64{"v2": share}, NonIdempotent: []string{"v2"}})
+	case "list":
+		w.list()
+	case "gone":
+		for id := range w.running {
+			if id.Daemon == "e" {
+				delete(w.running, id)
+			}
+		}
+		for id := range w.waiting {
+			if id.Daemon == "e" {
+				delete(w.waiting, id)
+			}
+		}
+		w.send(scheduler.DaemonGone{Daemon: "e"})
+	default:
+		w.send(scheduler.Tick{})
+	}
+}
+
+func compareID(a, b scheduler.AskID) int { return int(a.Number) - int(b.Number) }
+
+func (w *world) name() string {
+	return fmt.Sprint("u", rapid.IntRange(0, 3).Draw(w.t, "upstream"))
+}
+
+// any draws one of the running requests.
+func (w *world) any(label string) (id scheduler.AskID, some bool) {
+	ids := slices.SortedFunc(maps.Keys(w.running), compareID)
+	if len(ids) == 0 {
+		return id, false
+	}
+	return rapid.SampledFrom(ids).Draw(w.t, label), true
+}
+
+func (w *world) list() {
+	w.upstreams = map[string]*inventory.Upstream{}
+	var list []inventory.Upstream
+	for i := range 4 {
+		u := inventory.Upstream{
+			Name: fmt.Sprint("u", i), Slots: rapid.IntRange(1, 3).Draw(w.t, "slots"), Generation: fmt.Sprint("g", i/2),
+			Leaving: rapid.IntRange(0, 5).Draw(w.t, "leaving") == 0,
+		}
+		if rapid.IntRange(0, 5).Draw(w.t, "listed") > 0 {
+			list = append(list, u)
+			w.upstreams[u.Name] = &u
+		}
+	}
+	w.send(scheduler.Upstreams{List: list})
+}
+
+func (w *world) ask() {
+	t := w.t
+	w.next++
+	m := scheduler.Ask{
+		ID:           scheduler.AskID{Daemon: rapid.SampledFrom([]string{"d", "e"}).Draw(t, "daemon"), Number: w.next},
+		Organisation: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "organisation"), Route: "r",
+		Tier: rapid.IntRange(0, 2).Draw(t, "tier"), Deadline: w.now + clock.Millis(rapid.IntRange(0, 60_000).Draw(t, "deadline")),
+		PromptTokens: rapid.IntRange(1, 5000).Draw(t, "prompt"), MaxTokens: rapid.IntRange(0, 300).Draw(t, "max"),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+	}
+	if rapid.IntRange(0, 3).Draw(t, "excluded") == 0 {
+		m.Excluded = []string{w.name()}
+	}
+	w.waiting[m.ID] = m
+	w.send(m)
+}
+
+func (w *world) send(m scheduler.Message) {
+	var grants []scheduler.Grant
+	asked := maps.Clone(w.waiting)
+	for _, e := range w.state.Update(w.now, m) {
+		switch e := e.(type) {
+		case scheduler.Grant:
+			grants = append(grants, e)
+			delete(w.waiting, e.ID)
+		case scheduler.Refuse:
+			if _, waits := w.waiting[e.ID]; !waits {
+				w.t.Fatalf("%v is refused without waiting", e.ID)
+			}
+			delete(w.waiting, e.ID)
+		}
+	}
+	for _, g := range grants {
+		w.checkGrant(g, asked[g.ID])
+		w.running[g.ID] = g.Upstream
+	}
+	for _, g := range grants {
+		w.send(scheduler.Confirm{ID: g.ID})
+	}
+	w.forget()
+}
+
+// forget drops what the scheduler forgets: upstreams that are neither listed
+// nor in use.
+func (w *world) forget() {
+	for i := range 4 {
+		name := fmt.Sprint("u", i)
+		if w.upstreams[name] == nil && !slices.Contains(slices.Collect(maps.Values(w.running)), name) {
+			delete(w.versions, name)
+			delete(w.draining, name)
+			delete(w.down, name)
+		}
+	}
+}
+
+func (w *world) checkGrant(g scheduler.Grant, a scheduler.Ask) {
+	u := w.upstreams[g.Upstream]
+	if a.ID != g.ID || u == nil || !w.usable(u, a) || w.down[u.Name] {
+		w.t.Fatalf("grant %+v of %+v on %+v", g, a, u)
+	}
+	used := 0
+	for _, name := range w.running {
+		if name == u.Name {
+			used++
+		}
+	}
+	if used >= u.Slots {
+		w.t.Fatalf("grant on %s with %d of %d slots in use", u.Name, used, u.Slots)
+	}
+	for _, other := range w.waiting {
+		if other.Tier < a.Tier && w.usable(u, other) {
+			w.t.Fatalf("%+v got a slot that %+v waits for", a, other)
+		}
+	}
+}
+
+func (w *world) usable(u *inventory.Upstream, a scheduler.Ask) bool {
+	version := w.versions[u.Name]
+	return !u.Leaving && !w.draining[u.Name] && !slices.Contains(a.Excluded, u.Name) &&
+		(version != "v2" || !w.stopped["v2"])
+}
