Tell deaths again to daemons that have not heard

Cause: a death that was told before the membership was known, or while a daemon could not be reached, never reached it: a crashing request, sent again there, lost a third engine (seen in the test of ten sends). Change: Teller keeps the deaths that still matter and tells them each second to those of the region that have not heard.

--- a/daemon/duty_dispatch.go
+++ b/daemon/duty_dispatch.go
@@ -27,9 +27,10 @@
 func dispatchDuty() fx.Option {
 	return fx.Module("dispatch",
 		fx.Provide(newClaimer, newKeeper, newConvictor, newDispatcher),
-		fx.Invoke(func(l fx.Lifecycle, w *claimer.Writer, r *claimer.Reader) {
+		fx.Invoke(func(l fx.Lifecycle, w *claimer.Writer, r *claimer.Reader, t *convictor.Teller) {
 			runDuty(l, w.Run)
 			runDuty(l, r.Run)
+			runDuty(l, t.Run)
 		}),
 		fx.Invoke(drainDispatch),
 	)
@@ -69,14 +70,16 @@
 	fx.Out
 
 	Convictor *convictor.Convictor
+	Teller    *convictor.Teller
 	Service   peerService `group:"peer_services"`
 }
 
 func newConvictor(c clock.Clock, source inventory.Source, view gossiper.View, peers *connector.Connector) convictorOut {
 	teller := &convictor.Teller{View: view, Connector: peers, Clock: c}
+	teller.Memory = func() clock.Millis { return source.Current().Limits.WithDefaults().ConvictionMS }
 	judge := &convictor.Convictor{Clock: c, Source: source, Tell: teller.Tell}
 	server := &convictor.Server{Convictor: judge, Clock: c}
-	return convictorOut{Convictor: judge, Service: server.Register}
+	return convictorOut{Convictor: judge, Teller: teller, Service: server.Register}
 }
 
 type dispatcherNeeds struct {
