--- /dev/null
+++ b/daemon/administrator/openapi_test.go
@@ -0,0 +1,106 @@
+package administrator_test
+
+import (
+	"maps"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/gorilla/mux"
+
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/administrator"
+	"yuccaspread/daemon/configurer"
+)
+
+// page returns the lines of the API's page.
+func page(t *testing.T) []string {
+	t.Helper()
+	content, err := os.ReadFile("../../docs/openapi.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(string(content), "\n")
+}
+
+func TestPageNamesExactlyTheRoutes(t *testing.T) {
+	registered := map[string]bool{}
+	router := mux.NewRouter()
+	(&administrator.Administrator{}).Register(router)
+	err := router.Walk(func(route *mux.Route, _ *mux.Router, _ []*mux.Route) error {
+		methods, err := route.GetMethods()
+		if err != nil {
+			return nil //nolint:nilerr // The prefix of the subrouter has no methods.
+		}
+		path, err := route.GetPathTemplate()
+		for _, method := range methods {
+			registered[strings.ToLower(method)+" "+path] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	written := map[string]bool{}
+	path := ""
+	for _, line := range page(t) {
+		if strings.HasPrefix(line, "  /") {
+			path = strings.TrimSuffix(strings.TrimSpace(line), ":")
+		}
+		if line == "    get:" || line == "    post:" {
+			written[strings.TrimSuffix(strings.TrimSpace(line), ":")+" "+path] = true
+		}
+	}
+	if len(registered) == 0 || !maps.Equal(registered, written) {
+		t.Errorf("registered %v, on the page %v", slices.Sorted(maps.Keys(registered)), slices.Sorted(maps.Keys(written)))
+	}
+}
+
+// schema returns the names of the direct properties of a schema of the page.
+func schema(t *testing.T, name string) (fields []string) {
+	t.Helper()
+	property := regexp.MustCompile(`^        ([a-z0-9_]+):`)
+	inside := false
+	for _, line := range page(t) {
+		if regexp.MustCompile(`^    \S`).MatchString(line) {
+			inside = line == "    "+name+":"
+		}
+		if match := property.FindStringSubmatch(line); inside && match != nil {
+			fields = append(fields, match[1])
+		}
+	}
+	slices.Sort(fields)
+	return fields
+}
+
+// tags returns the names of the fields in JSON.
+func tags(value any) (fields []string) {
+	kind := reflect.TypeOf(value)
+	for i := range kind.NumField() {
+		name, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
+		if name != "" {
+			fields = append(fields, name)
+		}
+	}
+	slices.Sort(fields)
+	return fields
+}
+
+func TestPageNamesExactlyTheFields(t *testing.T) {
+	delta := append(tags(inventory.Delta{}), "revision")
+	slices.Sort(delta)
+	for name, want := range map[string][]string{
+		"Status":     tags(configurer.Status{}),
+		"AuditEntry": tags(configurer.AuditEntry{}),
+		"Config":     tags(inventory.Config{}),
+		"Key":        tags(inventory.Key{}),
+		"Delta":      delta,
+	} {
+		if got := schema(t, name); !slices.Equal(got, want) {
+			t.Errorf("%s: on the page %v, in the code %v", name, got, want)
+		}
+	}
+}
