--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,7 @@
 // edit, and waits until all daemons are ready.
 func newFleet(t *testing.T, edit func(*inventory.Config), regions ...string) *fleet {
 	t.Helper()
+	t.Parallel()
 	f := &fleet{t: t, folder: t.TempDir(), ports: map[string]string{}, regions: regions}
 	t.Cleanup(f.logs)
 	for program, folder := range map[string]string{"yuccaspread": ".", "yuccastandin": "../standin"} {
@@ -83,16 +85,23 @@
 	}
 }
 
-// reserve finds ports that are free at this moment.
+// given holds the ports that any fleet of this process was given.
+var given sync.Map
+
+// reserve finds ports that are free at this moment and no other fleet's.
 func (f *fleet) reserve(names ...string) {
 	for _, name := range names {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			f.t.Fatal(err)
+		for f.ports[name] == "" {
+			socket, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			port := fmt.Sprint(socket.Addr().(*net.TCPAddr).Port)
+			_ = socket.Close()
+			if _, taken := given.LoadOrStore(port, true); !taken {
+				f.ports[name] = port
+			}
 		}
-		f.t.Cleanup(func() { _ = socket.Close() })
-		f.ports[name] = fmt.Sprint(socket.Addr().(*net.TCPAddr).Port)
-		_ = socket.Close()
 	}
 }
 
