Callers use the best address of their region first

Cause: the stand-in callers rotated over all addresses, so that a third of the load went to the region with one slow engine and waited there. Change: callers keep an answer for each region and go on to the next address only after a failure, as docs/callers.md says.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -46,6 +46,8 @@
 	OutputTokens int `toml:"output_tokens"`
 	// Token is the organisation's bearer token.
 	Token string `toml:"token"`
+	// Region is where the callers of this kind stand.
+	Region string `toml:"region"`
 }
 
 // Caller sends requests. Its exported fields are set before Run.
@@ -56,18 +58,21 @@
 	// Requests is the number of requests to send, Parallel how many at once.
 	Requests int
 	Parallel int
-	// Region is told in the question for addresses.
-	Region string
 	// Client sends; nil stands for http.DefaultClient.
 	Client *http.Client
 
-	mu        sync.Mutex
-	addresses []string
-	// until is when the kept addresses expire.
-	until time.Time
+	mu sync.Mutex
+	// kept holds the address answers by region.
+	kept  map[string]kept
 	tally Tally
 }
 
+// kept is an address answer that is used until it expires.
+type kept struct {
+	addresses []string
+	until     time.Time
+}
+
 // Tally counts what became of the requests.
 type Tally struct {
 	Sent     int `json:"sent"`
@@ -147,7 +152,7 @@
 }
 
 func (c *Caller) try(ctx context.Context, kind Kind, key string, number, try int) (err error) {
-	address, err := c.address(ctx, number+try)
+	address, err := c.address(ctx, kind.Region, try)
 	if err != nil {
 		return err
 	}
@@ -166,7 +171,7 @@
 	}
 	res, err := c.client().Do(req)
 	if err != nil {
-		c.forget()
+		c.forget(kind.Region)
 		return err
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -280,48 +285,57 @@
 	return nil
 }
 
-// address returns one of the kept addresses, and asks for new ones when they
-// have expired.
-func (c *Caller) address(ctx context.Context, number int) (address string, err error) {
+// address returns the best kept address of the region, or the next best one
+// at each further try, and asks for new ones when they have expired.
+func (c *Caller) address(ctx context.Context, region string, try int) (address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.addresses) == 0 || time.Now().After(c.until) {
-		if err = c.refresh(ctx); err != nil && len(c.addresses) == 0 {
+	if c.kept == nil {
+		c.kept = map[string]kept{}
+	}
+	if time.Now().After(c.kept[region].until) {
+		if err = c.refresh(ctx, region); err != nil && len(c.kept[region].addresses) == 0 {
 			return "", err
 		}
 	}
-	return c.addresses[number%len(c.addresses)], nil
+	addresses := c.kept[region].addresses
+	return addresses[try%len(addresses)], nil
 }
 
-// forget drops the kept addresses after one of them failed.
-func (c *Caller) forget() {
+// forget lets the kept answer expire after one of its addresses failed.
+func (c *Caller) forget(region string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.until = time.Time{}
+	old := c.kept[region]
+	old.until = time.Time{}
+	c.kept[region] = old
 }
 
 // refresh asks one daemon after the other; c.mu is held.
-func (c *Caller) refresh(ctx context.Context) (err error) {
-	bases := make([]string, 0, len(c.addresses)+len(c.Daemons))
-	for _, a := range c.addresses {
+func (c *Caller) refresh(ctx context.Context, region string) (err error) {
+	var bases []string
+	for _, a := range c.kept[region].addresses {
 		bases = append(bases, "http://"+a)
 	}
 	for _, base := range append(bases, c.Daemons...) {
-		if err = c.ask(ctx, base); err == nil {
+		var answer kept
+		if answer, err = c.ask(ctx, base, region); err == nil {
+			c.kept[region] = answer
 			return nil
 		}
 	}
 	return err
 }
 
-func (c *Caller) ask(ctx context.Context, base string) (err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/addresses?region="+c.Region, nil)
+// ask gets the address answer of one daemon.
+func (c *Caller) ask(ctx context.Context, base, region string) (k kept, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/addresses?region="+region, nil)
 	if err != nil {
-		return err
+		return k, err
 	}
 	res, err := c.client().Do(req)
 	if err != nil {
-		return err
+		return k, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	var answer struct {
@@ -331,15 +345,14 @@
 		LifetimeMS clock.Millis `json:"lifetime_ms"`
 	}
 	if err = json.NewDecoder(res.Body).Decode(&answer); err != nil {
-		return err
+		return k, err
 	}
 	if len(answer.Addresses) == 0 {
-		return errors.New("no addresses from " + base)
+		return k, errors.New("no addresses from " + base)
 	}
-	c.addresses = nil
 	for _, a := range answer.Addresses {
-		c.addresses = append(c.addresses, a.Address)
+		k.addresses = append(k.addresses, a.Address)
 	}
-	c.until = time.Now().Add(answer.LifetimeMS.Duration())
-	return nil
+	k.until = time.Now().Add(answer.LifetimeMS.Duration())
+	return k, nil
 }
--- a/standin/calls.go
+++ b/standin/calls.go
@@ -33,7 +33,7 @@
 	if len(s.Daemons) == 0 || len(s.Kinds) == 0 {
 		return errors.New("callers: daemons and kinds must not be empty")
 	}
-	callers := caller.Caller{Daemons: s.Daemons, Kinds: s.Kinds, Requests: s.Requests, Parallel: s.Parallel, Region: s.Region}
+	callers := caller.Caller{Daemons: s.Daemons, Kinds: s.Kinds, Requests: s.Requests, Parallel: s.Parallel}
 	tally := callers.Run(ctx)
 	if err = json.NewEncoder(out).Encode(tally); err != nil {
 		return err
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -30,7 +30,6 @@
 type callerSettings struct {
 	// Daemons are base URLs of daemons.
 	Daemons  []string      `toml:"daemons" validate:"dive,url"`
-	Region   string        `toml:"region"`
 	Requests int           `toml:"requests" validate:"gte=0"`
 	Parallel int           `toml:"parallel" validate:"gte=0"`
 	Kinds    []caller.Kind `toml:"kinds"`
