No refusal without a scheduler's word where only another region serves

Change: such requests wait for the adopted shard until their deadline; a shard without any scheduler falls back to the local share. Conclusion: tests for both.

--- a/daemon/granter/path_test.go
+++ b/daemon/granter/path_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,9 +131,11 @@
 	decide func() granter.Decider
 }
 
-type source struct{ config *inventory.Config }
+type source struct {
+	config atomic.Pointer[inventory.Config]
+}
 
-func (s *source) Current() *inventory.Config { return s.config }
+func (s *source) Current() *inventory.Config { return s.config.Load() }
 
 type view struct {
 	cluster *cluster
@@ -194,7 +197,9 @@
 		},
 		Tiers: []inventory.Tier{{Name: "t0"}},
 	}
-	return &cluster{t: t, source: &source{config: &config}, nodes: map[string]*node{}}
+	c := &cluster{t: t, source: &source{}, nodes: map[string]*node{}}
+	c.source.config.Store(&config)
+	return c
 }
 
 // start adds a daemon of the region; passes is its dialer, nil for plain TCP.
--- a/daemon/granter/spill_test.go
+++ b/daemon/granter/spill_test.go
@@ -9,6 +9,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
@@ -16,12 +17,12 @@
 
 const away = "graz-a"
 
-// replace puts another configuration in force before the daemons start.
+// replace puts another configuration in force.
 func (c *cluster) replace(change func(config *inventory.Config)) {
-	config := *c.source.config
+	config := *c.source.Current()
 	change(&config)
 	config = config.Sorted()
-	c.source.config = &config
+	c.source.config.Store(&config)
 }
 
 func (f *fifo) set(reason scheduler.Reason) {
@@ -142,3 +143,41 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestARequestWaitsForTheOnlyRegionThatServesIt(t *testing.T) {
+	c, home, far := twoRegions(t, 0)
+	only := "bookings"
+	c.replace(func(config *inventory.Config) {
+		config.Upstreams = append(config.Upstreams, inventory.Upstream{Name: "b1", Pool: only, Region: away, Slots: 1})
+	})
+	req := func() *classifier.Request {
+		r := request(clock.Minute)
+		r.Pool = only
+		return r
+	}
+	slot, err := home.remote.Reserve(context.Background(), req(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slot.End(reserver.Usage{})
+	// The other region's daemon dies unnoticed, and the next request waits.
+	c.die(far, home)
+	got := make(chan error, 1)
+	go func() {
+		_, err := home.remote.Reserve(context.Background(), req(), nil)
+		got <- err
+	}()
+	c.remove("d2")
+	if err := <-got; err != nil {
+		t.Errorf("refused without a scheduler's word: %v", err)
+	}
+}
+
+func TestALeavingDaemonServesAloneWhatItAccepted(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.start("d1", region)
+	c.mu.Lock()
+	c.members[0].State = gossiper.Leaving
+	c.mu.Unlock()
+	mustReserve(t, n).End(reserver.Usage{})
+}
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -145,16 +145,35 @@
 			first = err
 		}
 	}
-	e, err = r.spill(ctx, req, excluded, first == nil)
+	if first == nil {
+		return r.searchElsewhere(ctx, req, excluded)
+	}
+	e, err = r.spill(ctx, req, excluded, false)
 	if err == nil || ctx.Err() != nil {
 		return e, err
 	}
-	if first == nil {
-		first = err
-	}
 	return nil, first
 }
 
+// searchElsewhere serves a request whose pool has no upstream in the region.
+// As long as no scheduler of another region answers, it waits.
+func (r *Remote) searchElsewhere(ctx context.Context, req *classifier.Request, excluded []string) (e *entry, err error) {
+	for {
+		e, err = r.spill(ctx, req, excluded, true)
+		if !errors.Is(err, errUnreached) {
+			return e, err
+		}
+		select {
+		case <-after(ctx, followInterval):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// errUnreached means that no scheduler of another region answers.
+var errUnreached = errors.New("no scheduler of the region answers")
+
 // reserveAt waits for a slot of one shard, across any change of its
 // scheduler.
 func (r *Remote) reserveAt(ctx context.Context, req *classifier.Request, excluded []string, shard sharder.Shard) (e *entry, err error) {
@@ -162,22 +181,22 @@
 		if err = ctx.Err(); err != nil {
 			return nil, err
 		}
-		scheduler, found := r.Assigner.Current().Scheduler(shard.ID)
-		if !found {
-			return nil, errNoUpstream(req.Pool)
-		}
-		l := r.linkTo(scheduler)
-		up, over := r.await(ctx, l)
-		if up {
-			e, done, err := r.askAt(ctx, l, req, excluded, shard)
-			if done {
-				return e, err
+		over := after(ctx, followInterval)
+		if scheduler, found := r.Assigner.Current().Scheduler(shard.ID); found {
+			l := r.linkTo(scheduler)
+			up, again := r.await(ctx, l)
+			if up {
+				e, done, err := r.askAt(ctx, l, req, excluded, shard)
+				if done {
+					return e, err
+				}
+				// The scheduler is lost or has moved on; the next may be the same.
+				again = after(ctx, followInterval)
 			}
-			// The scheduler is lost or has moved on; the next may be the same.
-			over = after(ctx, followInterval)
+			over = again
 		}
 		if shard.Region != r.View.Self().Region {
-			return nil, refuser.New(http.StatusServiceUnavailable, "no scheduler", "no scheduler of region "+shard.Region+" answers")
+			return nil, errUnreached
 		}
 		if e, err = r.fallback(ctx, req, excluded, shard, over); e != nil || err != nil {
 			return e, err
--- a/daemon/reserver/spill.go
+++ b/daemon/reserver/spill.go
@@ -1,11 +1,14 @@
 package reserver
 
 import (
+	"cmp"
 	"context"
+	"errors"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/sharder"
 )
 
 // Sizes by which the volume of a request is estimated.
@@ -23,7 +26,7 @@
 // the pool: then the volume is counted, and the budget does not bind, since
 // the operators have placed the pool elsewhere.
 func (r *Remote) spill(ctx context.Context, req *classifier.Request, excluded []string, needed bool) (e *entry, err error) {
-	err = errNoUpstream(req.Pool)
+	var refused, unreached error
 	layout := r.Assigner.Current().Layout
 	for _, region := range layout.Nearest(r.View.Self().Region) {
 		shards := r.shards(region, req)
@@ -32,21 +35,31 @@
 		}
 		bytes := volume(req, usualTokens)
 		if !r.pay(req.Tier, bytes, needed) {
-			return nil, err
+			break
 		}
-		for _, shard := range shards {
-			e, err = r.reserveAt(ctx, req, excluded, shard)
-			if err == nil {
-				e.bytes = bytes
-				return e, nil
-			}
-			if ctx.Err() != nil {
-				break
-			}
+		if e, err = r.reserveAny(ctx, req, excluded, shards); err == nil {
+			e.bytes = bytes
+			return e, nil
 		}
 		r.pay(req.Tier, -bytes, true)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil, err
+		case errors.Is(err, errUnreached):
+			unreached = err
+		default:
+			refused = cmp.Or(refused, err)
+		}
+	}
+	return nil, cmp.Or(refused, unreached, error(errNoUpstream(req.Pool)))
+}
+
+// reserveAny asks the shards one after the other. The error is the last one.
+func (r *Remote) reserveAny(ctx context.Context, req *classifier.Request, excluded []string, shards []sharder.Shard) (e *entry, err error) {
+	for _, shard := range shards {
+		e, err = r.reserveAt(ctx, req, excluded, shard)
+		if err == nil || ctx.Err() != nil {
+			return e, err
 		}
 	}
 	return nil, err
