Silent connections of callers and daemons end within seconds

Cause: a forgotten connection waits for minutes by default. Change: the listening sockets and the connector use the tuner's options.

--- a/daemon/connector/connector.go
+++ b/daemon/connector/connector.go
@@ -5,22 +5,20 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"net"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/daemon/tuner"
 )
 
 // Bounds of the connections to other daemons.
 const (
-	dialTimeout       = 1 * clock.Second
-	keepAliveInterval = 5 * clock.Second
-	idleTimeout       = 30 * clock.Second
-	poolSize          = 64
-	poolPerDaemon     = 4
+	idleTimeout   = 30 * clock.Second
+	poolSize      = 64
+	poolPerDaemon = 4
 )
 
 // Connector reaches other daemons. Its exported fields are set before use.
@@ -63,7 +61,7 @@
 			err = fmt.Errorf("connect to daemon %s: %w", address, err)
 		}
 	}()
-	dialer := &net.Dialer{Timeout: dialTimeout.Duration(), KeepAlive: keepAliveInterval.Duration()}
+	dialer := tuner.Dialer()
 	if c.TLS == nil {
 		plain, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -23,6 +23,7 @@
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
 	"yuccaspread/daemon/retirer"
+	"yuccaspread/daemon/tuner"
 )
 
 func ingressDuty() fx.Option {
@@ -144,7 +145,7 @@
 			return nil, err
 		}
 	}
-	var config net.ListenConfig
+	config := tuner.ListenConfig()
 	socket, err = config.Listen(ctx, "tcp", address)
 	if err != nil || keys == nil {
 		return socket, err
