--- a/replayer/runner/runner_test.go
+++ b/replayer/runner/runner_test.go
@@ -22,7 +22,8 @@
 			t.Run(fmt.Sprint(scenario, seed), func(t *testing.T) {
 				t.Parallel()
 				for _, miss := range checker.Check(scenario, replayAll(t, scenario, seed)) {
-					// Work lost with an upstream is chance: see the design note.
+					// What is lost with an upstream is chance at a single seed: see
+					// KNOWN-RED.txt and TestWasteOfLostUpstreams.
 					if scenario != "lost_upstreams" || miss.Kind != checker.Waste {
 						t.Errorf("%s: %s", miss.Kind, miss.Detail)
 					}
@@ -52,6 +53,21 @@
 	return results
 }
 
+// TestWasteOfLostUpstreams compares the waste of several seeds together.
+func TestWasteOfLostUpstreams(t *testing.T) {
+	wasted := map[string]int64{}
+	for seed := range uint64(6) {
+		for _, result := range replayAll(t, "lost_upstreams", seed+1) {
+			wasted[result.Policy] += result.WastedPrefillTokens
+		}
+	}
+	for _, policy := range selector.Names()[1:] {
+		if wasted[policy] <= wasted[selector.Yuccaspread] {
+			t.Errorf("wasted %v", wasted)
+		}
+	}
+}
+
 // TestSameVerdict writes a trace, reads it back and replays it twice.
 func TestSameVerdict(t *testing.T) {
 	trace, err := generator.Generate("lost_upstreams", 5)
