--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -31,7 +31,7 @@
 
 // fleet is a few real daemons with the stand-ins of the demo, as processes.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	ports   map[string]string
 	daemons []*exec.Cmd
@@ -41,9 +41,11 @@
 // newFleet builds the programs, starts the stand-ins and one daemon for each
 // of the regions, brings the demo's inventory and rules in force as changed by
 // edit, and waits until all daemons are ready.
-func newFleet(t *testing.T, edit func(*inventory.Config), regions ...string) *fleet {
+func newFleet(t testing.TB, edit func(*inventory.Config), regions ...string) *fleet {
 	t.Helper()
-	t.Parallel()
+	if test, found := t.(*testing.T); found {
+		test.Parallel()
+	}
 	f := &fleet{t: t, folder: t.TempDir(), ports: map[string]string{}, regions: regions}
 	t.Cleanup(f.logs)
 	for program, folder := range map[string]string{"yuccaspread": ".", "yuccastandin": "../standin"} {
--- a/daemon/gossiper/core_test.go
+++ b/daemon/gossiper/core_test.go
@@ -14,6 +14,9 @@
 	now   clock.Millis
 	cores map[string]*gossiper.Core
 	names []string
+	// bytes and sent count what went over the wire, answers included.
+	bytes int
+	sent  int
 	// cut tells whether no packet passes between the two.
 	cut func(a, b string) bool
 }
@@ -71,6 +74,10 @@
 	}
 	for _, e := range g.cores[to].Handle(g.now, gossiper.Received{Packet: p}) {
 		if r, found := e.(gossiper.Reply); found {
+			if g.t == nil {
+				g.bytes += gossiper.Bytes(p) + gossiper.Bytes(r.Packet) + 2*frameBytes
+				g.sent += 2
+			}
 			return r.Packet, true
 		}
 	}
