Benchmark: how long an upstream that leaves still gets requests

Cause: the bound of 3 s was by construction alone. Change: three real daemons under load; the platform's list or the inventory says that an engine leaves; the engine's own count tells the last request.

--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,8 @@
 	address string
 	from    string
 	until   time.Time
+	// tokens is the length of a stream, 0 for a long one.
+	tokens int
 }
 
 // refresh asks any daemon for addresses, as a new caller does.
@@ -58,7 +61,8 @@
 	}
 	path, body := "/bookings", `{"seat":1}`
 	if stream {
-		path, body = "/v1/completions", `{"model":"tent-guide","prompt":"when is sunset","max_tokens":60,"stream":true}`
+		tokens := cmp.Or(c.tokens, 60)
+		path, body = "/v1/completions", fmt.Sprintf(`{"model":"tent-guide","prompt":"when is sunset","max_tokens":%d,"stream":true}`, tokens)
 	}
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/daemon/size_test.go
+++ b/daemon/size_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,3 +108,91 @@
 	}
 	return sum
 }
+
+// BenchmarkLeavingUpstream tells how long an upstream still gets new requests
+// after the platform's list or the inventory says that it leaves.
+func BenchmarkLeavingUpstream(b *testing.B) {
+	const name, engine, quiet = "wien-a-model-1", "ENGINE1", 5 * time.Second
+	f := newFleet(b, func(*inventory.Config) {}, "wien-a", "wien-a", "graz-a")
+	stop := f.load(8)
+	defer stop()
+	list := func(leaving bool) {
+		vms := []platform.VM{{Name: name, Role: "upstream", Leaving: leaving}}
+		_ = f.call("PUT", "PLATFORM", "/vms", vms, nil)
+	}
+	revision := int64(1)
+	entry := func(leaving bool) {
+		var config inventory.Config
+		if err := f.get("LISTEN_0", "/v1/admin/config", &config); err != nil {
+			b.Fatal(err)
+		}
+		u, _ := inventory.Lookup(config.Upstreams, name)
+		u.Leaving = leaving
+		value, _ := json.Marshal(u)
+		d := inventory.Delta{Base: revision, ChangeID: fmt.Sprint(revision), Set: []inventory.Entry{{
+			Key: inventory.Key{Kind: inventory.UpstreamKind, Name: name}, Value: value,
+		}}}
+		if err := f.call("POST", "LISTEN_0", "/v1/admin/config", d, nil); err != nil {
+			b.Fatal(err)
+		}
+		revision++
+	}
+	for _, source := range []struct {
+		name string
+		say  func(leaving bool)
+	}{{"list", list}, {"inventory", entry}} {
+		b.Run(source.name, func(b *testing.B) {
+			worst := time.Duration(0)
+			for b.Loop() {
+				before := f.served(engine)
+				for f.served(engine) == before {
+					time.Sleep(20 * time.Millisecond)
+				}
+				source.say(true)
+				start, last := time.Now(), time.Duration(0)
+				for count := f.served(engine); time.Since(start) < quiet; time.Sleep(20 * time.Millisecond) {
+					if now := f.served(engine); now != count {
+						count, last = now, time.Since(start)
+					}
+				}
+				worst = max(worst, last)
+				source.say(false)
+			}
+			b.ReportMetric(float64(worst.Milliseconds()), "worst_ms")
+		})
+	}
+}
+
+// served returns the number of requests that the engine took.
+func (f *fleet) served(engine string) (count int) {
+	var report struct {
+		Served int `json:"served"`
+	}
+	if err := f.get(engine, "/v1/load", &report); err != nil {
+		f.t.Fatal(err)
+	}
+	return report.Served
+}
+
+// load sends streams from the given number of callers until stop is called.
+func (f *fleet) load(callers int) (stop func()) {
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			c := &caller{fleet: f, client: &http.Client{Transport: &http.Transport{}}, tokens: 5}
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_ = c.send(true)
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wait.Wait()
+	}
+}
