--- a/daemon/configurer/configurer_test.go
+++ b/daemon/configurer/configurer_test.go
@@ -23,6 +23,14 @@
 	if err != nil || again != 1 {
 		t.Fatalf("the repeated call gave %d, %v", again, err)
 	}
+	// Once more, now that the daemon surely knows the revision.
+	if err = all[1].Poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	again, err = all[1].Commit(t.Context(), pool(0, "one", "p", "one"))
+	if err != nil || again != 1 {
+		t.Fatalf("the call after the revision was known gave %d, %v", again, err)
+	}
 	_, err = all[1].Commit(t.Context(), pool(0, "one", "p", "other"))
 	if !errors.Is(err, configurer.ErrChangeID) {
 		t.Fatalf("another change under the same id gave %v", err)
