Stand-in engines take orders

Cause: moves need engines that load, unload and change version. Change: orders with a fencing number that engines check or ignore, weights under a shared rate, drained unloads, faults by version (fail, empty, cut, slow; later, under load, by path or class).

--- a/standin/generator/events.go
+++ b/standin/generator/events.go
@@ -87,7 +87,7 @@
 	defer g.mu.Unlock()
 	now := clock.System{}.Now()
 	if g.report.TimeMS == 0 || now-g.report.TimeMS >= g.ReportEvery {
-		g.report = loadReport{now, g.running, g.waiting, g.Version, g.served}
+		g.report = loadReport{now, g.running, g.waiting, g.versions.current, g.served}
 	}
 	_ = json.NewEncoder(w).Encode(g.report)
 }
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -52,6 +52,13 @@
 	// Crash ends the process, for the fault of that name.
 	Crash func()
 
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
+	// Weights is the store that all engines load from; nil loads at once.
+	Weights *Weights
+	// Behaviours are the faults of versions; the first that fits shows.
+	Behaviours []Behaviour
+
 	once  sync.Once
 	slots chan struct{}
 
@@ -64,6 +71,10 @@
 	served  int
 	streams map[string]*stream
 	faults  Faults
+	// versions, adapter and role are what orders have led to.
+	versions versions
+	adapter  string
+	role     string
 }
 
 // chatRequest is the part of an OpenAI request that the engine reads.
@@ -76,6 +87,11 @@
 		Role    string `json:"role"`
 		Content string `json:"content"`
 	} `json:"messages"`
+
+	// version is the one that the request runs on.
+	version string
+	// slowness is how many times slower the tokens come; 0 stands for 1.
+	slowness float64
 }
 
 // Text returns the prompt as one text, whichever form the request has.
@@ -104,10 +120,13 @@
 		g.slots = make(chan struct{}, max(g.Slots, 1))
 		g.cache.capacity = g.CacheBlocks
 		g.events.loseEvery = g.LoseEvery
+		g.versions = versions{current: g.Version, loaded: []string{g.Version}, running: map[string]int{}, served: map[string]int{}}
 	})
 	router.HandleFunc("/v1/chat/completions", g.serveCompletion).Methods(http.MethodPost)
 	router.HandleFunc("/v1/completions", g.serveCompletion).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", g.serveLoad).Methods(http.MethodGet)
+	router.HandleFunc("/v1/versions", g.serveVersions).Methods(http.MethodGet)
+	router.HandleFunc("/v1/orders", g.serveOrder).Methods(http.MethodPost)
 	router.HandleFunc("/v1/cache_events", g.serveEvents).Methods(http.MethodGet)
 	router.HandleFunc("/v1/streams/{id}", g.serveStream).Methods(http.MethodGet)
 	router.HandleFunc("/v1/streams/{id}", g.cancelStream).Methods(http.MethodDelete)
@@ -125,6 +144,11 @@
 	}
 	prompt := req.Text()
 	g.crash(prompt)
+	fault := g.meet(r, &req)
+	defer g.part(req.version)
+	if !fault.apply(w, &req) {
+		return
+	}
 	tag := r.Header.Get(headerRequest)
 	if req.Stream {
 		g.follow(w, r, g.begin(tag, req, prompt), 0)
@@ -135,16 +159,16 @@
 	}
 	defer g.leave()
 	cached := g.prefill(r.Context(), prompt)
-	g.head(w, tag, cached)
+	g.head(w, tag, req.version, cached)
 	g.whole(r.Context(), w, req, prompt)
 }
 
 // headerRequest names the attempt that an answer belongs to.
 const headerRequest = "X-Request-Id"
 
-func (g *Generator) head(w http.ResponseWriter, tag string, cached int) {
+func (g *Generator) head(w http.ResponseWriter, tag, version string, cached int) {
 	w.Header().Set("X-Upstream", g.Name)
-	w.Header().Set("X-Version", g.Version)
+	w.Header().Set("X-Version", version)
 	w.Header().Set("X-Cached-Tokens", strconv.Itoa(cached))
 	if tag != "" {
 		w.Header().Set(headerRequest, tag)
@@ -196,10 +220,12 @@
 	return cached
 }
 
-func (g *Generator) gap() time.Duration {
+// gap is the present time between tokens of a request.
+func (g *Generator) gap(req chatRequest) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return (g.TokenGap + g.GapPerRequest*clock.Millis(max(g.running-1, 0))).Duration()
+	gap := (g.TokenGap + g.GapPerRequest*clock.Millis(max(g.running-1, 0))).Duration()
+	return time.Duration(float64(gap) * max(req.slowness, 1))
 }
 
 func sleep(ctx context.Context, span time.Duration) {
@@ -242,7 +268,7 @@
 func (g *Generator) whole(ctx context.Context, w http.ResponseWriter, req chatRequest, prompt string) {
 	tokens := Answer(prompt, req.MaxTokens)
 	for range tokens {
-		sleep(ctx, g.gap())
+		sleep(ctx, g.gap(req))
 	}
 	stop := "stop"
 	count := hasher.Tokens(prompt)
--- a/standin/generator/streams.go
+++ b/standin/generator/streams.go
@@ -22,8 +22,10 @@
 // stream is an answer in events. It runs on its own, whether or not anyone
 // reads it, until its grace ends.
 type stream struct {
-	tag    string
-	cancel context.CancelFunc
+	tag string
+	// version is the one that the stream runs on.
+	version string
+	cancel  context.CancelFunc
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -49,17 +51,19 @@
 		return s
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &stream{tag: tag, cancel: cancel, changed: make(chan struct{})}
+	s := &stream{tag: tag, version: req.version, cancel: cancel, changed: make(chan struct{})}
 	if g.streams == nil {
 		g.streams = map[string]*stream{}
 	}
 	g.streams[tag] = s
+	g.versions.running[req.version]++
 	go g.produce(ctx, s, req, prompt)
 	return s
 }
 
 // produce makes the events of a stream.
 func (g *Generator) produce(ctx context.Context, s *stream, req chatRequest, prompt string) {
+	defer g.part(req.version)
 	if !g.enter(ctx) {
 		return
 	}
@@ -68,7 +72,7 @@
 	s.update(func() { s.cached, s.started = cached, true })
 	stop := "stop"
 	for i, token := range Answer(prompt, req.MaxTokens) {
-		sleep(ctx, g.gap())
+		sleep(ctx, g.gap(req))
 		if ctx.Err() != nil {
 			return
 		}
@@ -156,7 +160,7 @@
 	for {
 		events, state, changed := s.after(after)
 		if len(events) > 0 && sent == 0 {
-			g.head(w, fault.tag(s.tag), state.cached)
+			g.head(w, fault.tag(s.tag), s.version, state.cached)
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
 		for _, event := range events {
--- a/standin/lister/lister.go
+++ b/standin/lister/lister.go
@@ -19,8 +19,9 @@
 
 // Lister holds the list. Its exported fields are set before Register.
 type Lister struct {
-	// Weights is the status that the weight store answers.
-	Weights platform.WeightStatus
+	// Weights returns the status that the weight store answers; nil answers
+	// the zero one.
+	Weights func() platform.WeightStatus
 
 	mu sync.Mutex
 	// versions are the lists since the start, oldest first.
@@ -86,5 +87,9 @@
 }
 
 func (l *Lister) serveWeights(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(l.Weights)
+	var status platform.WeightStatus
+	if l.Weights != nil {
+		status = l.Weights()
+	}
+	_ = json.NewEncoder(w).Encode(status)
 }
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -26,9 +26,10 @@
 // routers returns the handler of each listening address.
 func routers(s settings) map[string]http.Handler {
 	all := map[string]http.Handler{}
+	weights := &generator.Weights{BytesPerSecond: s.Platform.WeightBytesPerSecond, Bytes: s.Platform.WeightBytes}
 	if s.Platform.Listen != "" {
 		router := mux.NewRouter()
-		store, list := &storer.Storer{}, &lister.Lister{}
+		store, list := &storer.Storer{}, &lister.Lister{Weights: weights.Status}
 		store.Register(router)
 		list.Register(router)
 		faults := &injector.Injector{Older: store.Older, Lag: list.Lag}
@@ -41,6 +42,7 @@
 			PrefillTokensPerSecond: e.PrefillTokensPerSecond,
 			TokenGap:               e.TokenGapMS, GapPerRequest: e.GapPerRequestMS,
 			CacheBlocks: e.CacheBlocks, ReportEvery: e.ReportEveryMS, LoseEvery: e.LoseEvery,
+			ChecksFencing: e.ChecksFencing, Weights: weights, Behaviours: e.Behaviours,
 		}
 		engine.Crash = crash
 		engine.Register(router)
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -3,6 +3,7 @@
 import (
 	"yuccaspread/common/clock"
 	"yuccaspread/standin/caller"
+	"yuccaspread/standin/generator"
 )
 
 // settings is the file of the program.
@@ -38,6 +39,10 @@
 type platformSettings struct {
 	// Listen is an IP number and a port; empty starts no platform.
 	Listen string `toml:"listen" validate:"omitempty,hostname_port"`
+	// WeightBytesPerSecond is the rate of the weight store, 0 for no limit, and
+	// WeightBytes the size of each version.
+	WeightBytesPerSecond float64 `toml:"weight_bytes_per_second" validate:"gte=0"`
+	WeightBytes          float64 `toml:"weight_bytes" validate:"gte=0"`
 }
 
 type engineSettings struct {
@@ -53,6 +58,9 @@
 	ReportEveryMS clock.Millis `toml:"report_every_ms" validate:"gte=0"`
 	// LoseEvery loses each cache event whose number it divides.
 	LoseEvery int64 `toml:"lose_every" validate:"gte=0"`
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool                  `toml:"checks_fencing"`
+	Behaviours    []generator.Behaviour `toml:"behaviours"`
 }
 
 type serviceSettings struct {
