Mover: evidence, local stops, leader's loop and orders on the real path

Change: package daemon/mover (drpc exchange of plans and evidence, local stop spread to all daemons, lease and rows through the table, orders over HTTP, shares of a daemon that has heard no leader), GET /v1/admin/moves, metrics; granter.Evidence tells tokens, running requests and the time of the grant.

--- a/daemon/administrator/administrator.go
+++ b/daemon/administrator/administrator.go
@@ -46,6 +46,8 @@
 	Stop func()
 	// Recorder is the flight recorder; nil for none.
 	Recorder *recorder.Recorder
+	// Moves answers with the moves; nil leaves the page out.
+	Moves http.Handler
 
 	once sync.Once
 	// strangers bounds calls without a known token.
@@ -73,6 +75,7 @@
 	get("/history", a.getHistory)
 	post("/undo", a.postUndo)
 	get("/status", a.getStatus)
+	get("/moves", a.getMoves)
 	get("/audit", a.getAudit)
 	post("/drain", a.postDrain)
 	get("/recorder", a.getRecord)
@@ -166,3 +169,11 @@
 	}{a.Daemon, noted})
 	a.Stop()
 }
+
+func (a *Administrator) getMoves(w http.ResponseWriter, r *http.Request, _ inventory.Operator) {
+	if a.Moves == nil {
+		http.NotFound(w, r)
+		return
+	}
+	a.Moves.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/daemon/duty_moves.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/platform"
+	"yuccaspread/daemon/administrator"
+	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/granter"
+	"yuccaspread/daemon/mover"
+)
+
+// movesDuty brings new versions in by their date or takes them back.
+func movesDuty() fx.Option {
+	return fx.Module("moves",
+		fx.Provide(newMover),
+		fx.Invoke(func(l fx.Lifecycle, m *mover.Mover, g *granter.Granter, a *administrator.Administrator) {
+			g.Observer = m
+			a.Moves = m
+			runDuty(l, m.Run)
+		}),
+	)
+}
+
+type moverOut struct {
+	fx.Out
+
+	Mover   *mover.Mover
+	Service peerService `group:"peer_services"`
+}
+
+func newMover(view gossiper.View, source inventory.Source, c clock.Clock, client platform.Client, peers *connector.Connector, g *granter.Granter, registerer prometheus.Registerer) moverOut {
+	self := view.Self()
+	m := &mover.Mover{
+		// A restarted process is another contender for the lease.
+		Name:   self.Name + "/" + strconv.FormatInt(int64(c.Now()), 10),
+		Source: source, View: view, Table: client.Table, Connector: peers, Clock: c,
+		Upstreams: g.Upstreams, Shares: g.Shares, Registerer: registerer,
+		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
+	return moverOut{Mover: m, Service: m.Register}
+}
--- a/daemon/granter/observer.go
+++ b/daemon/granter/observer.go
@@ -18,6 +18,13 @@
 	// Gap is the mean time between tokens, 0 where there were less than two.
 	Gap        clock.Millis
 	Idempotent bool
+	// Tokens is the number of output tokens.
+	Tokens int
+	// Running is the number of requests on the upstream at the end, this one
+	// included.
+	Running int
+	// Granted is when the slot was given, 0 where another scheduler gave it.
+	Granted clock.Millis
 }
 
 // Observer is told of each request that ended. It must return at once, for it
@@ -34,9 +41,20 @@
 	e := Evidence{
 		Upstream: o.upstream, Version: o.version, Pool: r.pool, Route: o.ask.Route, Outcome: m.Usage.Outcome,
 		FirstToken: o.firstToken, Idempotent: o.ask.Idempotent,
+		Tokens: m.Usage.OutputTokens, Running: r.running(o.upstream), Granted: o.granted,
 	}
 	if m.Usage.OutputTokens > 1 {
 		e.Gap = decode / clock.Millis(m.Usage.OutputTokens-1)
 	}
 	r.granter.Observer.Observe(e)
 }
+
+// running counts the requests on an upstream.
+func (r *runner) running(upstream string) (count int) {
+	for _, o := range r.known {
+		if o.upstream == upstream {
+			count++
+		}
+	}
+	return count
+}
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -48,6 +48,8 @@
 	upstream   string
 	version    string
 	firstToken clock.Millis
+	// granted is when this scheduler gave the slot, 0 where another did.
+	granted clock.Millis
 }
 
 // runner is the goroutine of one shard.
@@ -262,6 +264,7 @@
 	r.waiting--
 	o.upstream, o.version = e.Upstream, e.Version
 	now := r.granter.Clock.Now()
+	o.granted = now
 	r.granter.metrics.granted(o, now)
 	o.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
--- /dev/null
+++ b/daemon/mover/page.go
@@ -0,0 +1,72 @@
+package mover
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/stager"
+)
+
+// View is a move as operators read it.
+type View struct {
+	stager.Row
+	// Result is "done", "undone" or "open".
+	Result string `json:"result"`
+	// State and Due are what the configuration wants.
+	State inventory.MoveState `json:"state,omitempty"`
+	Due   clock.Millis        `json:"due_ms,omitempty"`
+	// FinishedOnTime tells that all traffic had moved by the date.
+	FinishedOnTime bool `json:"finished_on_time"`
+}
+
+// ServeHTTP answers with all moves as the leader last told them; a daemon that
+// has heard none reads the table.
+func (m *Mover) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.prepare()
+	m.mu.Lock()
+	rows, leader, epoch := m.rows, m.leader, m.epoch
+	m.mu.Unlock()
+	if epoch == 0 {
+		found, err := m.Table.Scan(r.Context(), stager.RowPrefix, stager.RowPrefix, maxMoves)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		for _, row := range found {
+			rows = append(rows, row.Value)
+		}
+	}
+	views := make([]View, 0, len(rows))
+	config := m.Source.Current()
+	for _, value := range rows {
+		var row stager.Row
+		if json.Unmarshal(value, &row) == nil {
+			views = append(views, view(row, config))
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Leader string `json:"leader"`
+		Epoch  int64  `json:"epoch"`
+		Moves  []View `json:"moves"`
+	}{leader, epoch, views})
+}
+
+func view(row stager.Row, config *inventory.Config) View {
+	v := View{Row: row, Result: "open"}
+	move, found := inventory.Lookup(config.Moves, row.Move)
+	if found {
+		v.State, v.Due = move.State, move.Due
+		v.FinishedOnTime = row.Finished > 0 && row.Finished <= move.Due && !row.Undone()
+	}
+	switch row.Phase {
+	case stager.PhaseDone:
+		v.Result = "done"
+	case stager.PhaseUndone:
+		v.Result = "undone"
+	case stager.PhaseWaiting, stager.PhaseLoading, stager.PhaseStaged, stager.PhaseSoaking, stager.PhaseUndoing:
+	}
+	return v
+}
--- /dev/null
+++ b/daemon/moves_test.go
@@ -0,0 +1,322 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/mover"
+)
+
+// Tokens of the test and their hashes.
+const (
+	operatorHash   = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e"
+	familiesToken  = "families-token"
+	familiesHash   = "b93f098f33a01cdf4a0a54ea183559461e03f5465efd17fa8660935bd9428ebc"
+	movesPatience  = 3 * time.Minute
+	enginesPerPool = 4
+	firstShare     = 0.2
+)
+
+// deployment is a platform, engines and daemons as processes.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	ports   []string
+	daemons []string
+	config  inventory.Config
+	// badServed counts what the engines of the bad pool served of each version.
+	badServed [2]int
+}
+
+// TestMovesThroughProcesses moves two pools at once: the new version of one is
+// good and finishes, that of the other fails and is taken back. Half of the
+// engines check fencing numbers, the others ignore them.
+func TestMovesThroughProcesses(t *testing.T) {
+	d := deploy(t)
+	due := clock.System{}.Now() + 45*clock.Second
+	for _, pool := range []string{"good", "bad"} {
+		d.config.Moves = append(d.config.Moves, inventory.Move{
+			Name: pool + "-v2", Pool: pool, From: "v1", To: "v2", Due: due, FirstShare: firstShare,
+			SoakMS: 2 * clock.Second, State: inventory.MoveRun,
+		})
+	}
+	d.apply()
+	stop := d.traffic()
+	results := d.await()
+	stop()
+	for name, wanted := range map[string]string{"good-v2": "done", "bad-v2": "undone"} {
+		if results[name].Result != wanted {
+			t.Errorf("move %s: %+v, want %s", name, results[name], wanted)
+		}
+	}
+	for _, u := range d.config.Upstreams {
+		d.checkEngine(u)
+	}
+	if old, fresh := d.badServed[0], d.badServed[1]; fresh == 0 || float64(fresh) > firstShare*float64(old+fresh) {
+		t.Errorf("the bad version served %d requests beside %d of the old one", fresh, old)
+	}
+}
+
+// engineState is what an engine tells of itself.
+type engineState struct {
+	Version string         `json:"version"`
+	Loaded  []string       `json:"loaded"`
+	Fence   int64          `json:"fence"`
+	Starts  int            `json:"starts"`
+	Served  map[string]int `json:"served"`
+}
+
+// checkEngine waits until an engine holds the version of the move's result
+// alone, and checks that it loaded once and served no more than allowed.
+func (d *deployment) checkEngine(u inventory.Upstream) {
+	wanted := map[string]string{"good": "v2", "bad": "v1"}[u.Pool]
+	var state engineState
+	for end := time.Now().Add(movesPatience); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		d.get("http://"+u.Address+"/v1/versions", &state)
+		if state.Version == wanted && len(state.Loaded) == 1 {
+			break
+		}
+	}
+	if state.Version != wanted || len(state.Loaded) != 1 {
+		d.t.Errorf("engine %s: %+v, want %s alone", u.Name, state, wanted)
+	}
+	// A bad version may be taken back before all have begun to load it.
+	if state.Starts > 1 || (u.Pool == "good" && (state.Starts == 0 || state.Fence == 0)) {
+		d.t.Errorf("engine %s: %d loads begun, fence %d", u.Name, state.Starts, state.Fence)
+	}
+	if u.Pool == "bad" {
+		d.badServed[0] += state.Served["v1"]
+		d.badServed[1] += state.Served["v2"]
+	}
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir()}
+	for _, program := range []string{"daemon", "standin"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(d.dir, program), "yuccaspread/"+program).CombinedOutput()
+		if err != nil {
+			t.Fatalf("build %s: %v\n%s", program, err, out)
+		}
+	}
+	d.ports = freePorts(t, 1+2*enginesPerPool+2*2)
+	d.describe()
+	var settings strings.Builder
+	fmt.Fprintf(&settings, "[platform]\nlisten = %q\nweight_bytes_per_second = 2e9\nweight_bytes = 1e9\n", d.ports[0])
+	for i, u := range d.config.Upstreams {
+		fmt.Fprintf(&settings, "[[engines]]\nname = %q\nlisten = %q\nversion = \"v1\"\nslots = 16\ntoken_gap_ms = 2\nchecks_fencing = %t\n",
+			u.Name, u.Address, u.ChecksFencing)
+		if u.Pool == "bad" {
+			fmt.Fprintf(&settings, "[[engines.behaviours]]\nversion = \"v2\"\nkind = \"fail\"\nevery_nth = %d\n", 1+i%2)
+		}
+	}
+	d.start("standin", settings.String(), d.ports[0]+"/vms")
+	for i := range 2 {
+		listen := d.ports[1+2*enginesPerPool+i]
+		peers := d.ports[3+2*enginesPerPool:]
+		d.start("daemon", fmt.Sprintf("name = \"entry-%d\"\nlisten = %q\npeer_listen = %q\nregion = \"r%d\"\nfailure_domain = \"f%d\"\nplatform = \"http://%s\"\nseeds = [%q]\nbootstrap_token_sha256 = %q\n",
+			i, listen, peers[i], i, i, d.ports[0], peers[0], operatorHash), listen+"/healthz")
+		d.daemons = append(d.daemons, "http://"+listen)
+	}
+	return d
+}
+
+// describe fills the inventory: two pools with engines in two regions.
+func (d *deployment) describe() {
+	c := &d.config
+	c.Regions = []inventory.Region{{Name: "r0", FailureDomains: []string{"f0"}, Nearest: []string{"r1"}}, {Name: "r1", FailureDomains: []string{"f1"}, Nearest: []string{"r0"}}}
+	c.Limits.AddressLifetimeMS = clock.Second
+	c.Organisations = []inventory.Organisation{{Name: "families", TokenSHA256: familiesHash}}
+	c.Operators = []inventory.Operator{{Name: "vienna", TokenSHA256: operatorHash, Role: inventory.RoleAdmin}}
+	c.Tiers = []inventory.Tier{{Name: "question", DeadlineMS: 20 * clock.Second, CrossRegionBytesPerHour: 1 << 40}}
+	for i, pool := range []string{"good", "bad"} {
+		c.Pools = append(c.Pools, inventory.Pool{Name: pool, Kind: inventory.PoolModel, Model: pool, Version: "v1"})
+		c.Routes = append(c.Routes, inventory.Route{Name: pool, Path: "/v1/completions", Model: pool, Pool: pool, Tier: "question", Idempotent: true})
+		for j := range enginesPerPool {
+			c.Upstreams = append(c.Upstreams, inventory.Upstream{
+				Name: fmt.Sprintf("%s-%d", pool, j), Address: d.ports[1+i*enginesPerPool+j], Pool: pool,
+				Region: fmt.Sprintf("r%d", j%2), FailureDomain: fmt.Sprintf("f%d", j%2), Generation: "g", Slots: 16, ChecksFencing: j < enginesPerPool/2,
+			})
+		}
+	}
+}
+
+// start runs a program until the end of the test and waits until it answers.
+func (d *deployment) start(program, settings, ready string) {
+	d.t.Helper()
+	file, err := os.CreateTemp(d.dir, program+"*.toml")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	_, _ = file.WriteString(settings)
+	_ = file.Close()
+	var log bytes.Buffer
+	cmd := exec.Command(filepath.Join(d.dir, program), "--settings", file.Name())
+	cmd.Stderr = &log
+	if err = cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM)
+		_ = cmd.Wait()
+		if d.t.Failed() {
+			d.t.Logf("%s:\n%s", program, tail(log.String()))
+		}
+	})
+	for end := time.Now().Add(movesPatience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		res, err := http.Get("http://" + ready)
+		if err == nil {
+			_ = res.Body.Close()
+			return
+		}
+	}
+	d.t.Fatalf("%s does not answer:\n%s", program, log.String())
+}
+
+func tail(log string) string {
+	const kept = 8000
+	return log[max(len(log)-kept, 0):]
+}
+
+// call sends a request to the administration API and decodes the reply.
+func (d *deployment) call(method, path string, body, reply any) error {
+	content, _ := json.Marshal(body)
+	req, _ := http.NewRequestWithContext(context.Background(), method, d.daemons[0]+path, bytes.NewReader(content))
+	req.Header.Set("Authorization", "Bearer "+operatorToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", res.Status, answer)
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, reply)
+}
+
+func (d *deployment) get(url string, reply any) {
+	res, err := http.Get(url)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	_ = json.NewDecoder(res.Body).Decode(reply)
+}
+
+// apply brings the configuration in force.
+func (d *deployment) apply() {
+	d.t.Helper()
+	var present inventory.Config
+	var err error
+	for end := time.Now().Add(movesPatience); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if err = d.call(http.MethodGet, "/v1/admin/config", nil, &present); err != nil {
+			continue
+		}
+		delta, diffErr := present.Diff(d.config.Sorted())
+		if diffErr != nil {
+			d.t.Fatal(diffErr)
+		}
+		delta.ChangeID = "moves"
+		var accepted struct {
+			Revision int64 `json:"revision"`
+		}
+		if err = d.call(http.MethodPost, "/v1/admin/config", delta, &accepted); err == nil {
+			return
+		}
+		if strings.Contains(err.Error(), "422") {
+			break
+		}
+	}
+	d.t.Fatalf("configuration not accepted: %v", err)
+}
+
+// traffic sends requests to both pools at both daemons until it is stopped.
+func (d *deployment) traffic() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for worker := range 16 {
+		wait.Go(func() {
+			for number := 0; ctx.Err() == nil; number++ {
+				body := fmt.Sprintf(`{"model":%q,"max_tokens":8,"stream":true,"prompt":"%d %d"}`, []string{"good", "bad"}[worker%2], worker, number)
+				req, _ := http.NewRequestWithContext(ctx, http.MethodPost, d.daemons[worker/2%2]+"/v1/completions", strings.NewReader(body))
+				req.Header.Set("Authorization", "Bearer "+familiesToken)
+				res, err := http.DefaultClient.Do(req)
+				if err != nil {
+					continue
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+// await reads the moves back until both have ended.
+func (d *deployment) await() map[string]mover.View {
+	d.t.Helper()
+	results := map[string]mover.View{}
+	last := ""
+	for end := time.Now().Add(movesPatience); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		var page struct {
+			Moves []mover.View `json:"moves"`
+		}
+		if err := d.call(http.MethodGet, "/v1/admin/moves", nil, &page); err != nil {
+			continue
+		}
+		ended := 0
+		line := ""
+		for _, v := range page.Moves {
+			results[v.Move] = v
+			line += fmt.Sprintf("%s %s stage %d share %g (%s); ", v.Move, v.Phase, v.Stage, v.Share, v.Why)
+			if v.Result != "open" {
+				ended++
+			}
+		}
+		if line != last {
+			d.t.Log(line)
+			last = line
+		}
+		if ended == len(d.config.Moves) {
+			return results
+		}
+	}
+	return results
+}
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, count int) (addresses []string) {
+	t.Helper()
+	for range count {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		addresses = append(addresses, socket.Addr().String())
+	}
+	return addresses
+}
--- a/daemon/stager/shares.go
+++ b/daemon/stager/shares.go
@@ -1,6 +1,9 @@
 package stager
 
-import "yuccaspread/daemon/scheduler"
+import (
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/scheduler"
+)
 
 // shares returns the shares for the schedulers: at most share for the new
 // version, and no more than its upstreams can carry while the last ones change.
@@ -29,6 +32,19 @@
 	return scheduler.Shares{Shares: map[string]float64{to: 0}}
 }
 
+// Resume returns the shares for a daemon that knows a move's row, or the zero
+// row where there is none, and nothing of its leader.
+func Resume(row Row, m inventory.Move) scheduler.Shares {
+	switch {
+	case row.Undone() || row.Share <= 0:
+		return Stopped(m.To)
+	case row.Phase == PhaseSoaking || row.Phase == PhaseDone:
+		return scheduler.Shares{Shares: map[string]float64{m.To: 1, m.From: 0}, NonIdempotent: []string{m.To}}
+	default:
+		return scheduler.Shares{Shares: map[string]float64{m.To: row.Share}}
+	}
+}
+
 // served is the part of the present slots whose upstreams report the version.
 func served(in Input, version string) float64 {
 	all, some := 0, 0
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -19,6 +19,7 @@
 		recordingDuty(),
 		reservationDuty(),
 		dispatchDuty(),
+		movesDuty(),
 		ingressDuty(),
 	)
 }
