--- /dev/null
+++ b/daemon/mover/mover_test.go
@@ -0,0 +1,221 @@
+package mover_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/platform"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/granter"
+	"yuccaspread/daemon/mover"
+	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+)
+
+type source struct{ config *inventory.Config }
+
+func (s source) Current() *inventory.Config { return s.config }
+
+// away is a table that can't be reached.
+type away struct{ platform.Table }
+
+func (away) Read(context.Context, ...string) ([]platform.Row, error) {
+	return nil, &platform.Error{Op: "table.read", Certainty: platform.NotDone, Err: context.DeadlineExceeded}
+}
+
+func (away) Scan(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, &platform.Error{Op: "table.scan", Certainty: platform.NotDone, Err: context.DeadlineExceeded}
+}
+
+// told records the shares that the schedulers have.
+type told struct {
+	mu     sync.Mutex
+	shares scheduler.Shares
+}
+
+func (s *told) set(_ string, shares scheduler.Shares) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares = shares
+}
+
+func (s *told) share() (share float64, named bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share, named = s.shares.Shares["v2"]
+	return share, named
+}
+
+// daemon is a Mover behind real drpc, without any table.
+type daemon struct {
+	*mover.Mover
+	told   told
+	clock  clock.Manual
+	client wire.DRPCMovesClient
+}
+
+func newDaemon(tb testing.TB) *daemon {
+	tb.Helper()
+	config := &inventory.Config{Pools: []inventory.Pool{{Name: "p", Kind: inventory.PoolModel}}}
+	for _, generation := range []string{"g1", "g2", "g3", "g4", "g5"} {
+		config.Upstreams = append(config.Upstreams, inventory.Upstream{Name: generation, Pool: "p", Generation: generation, Slots: 16})
+	}
+	d := &daemon{}
+	d.clock.Set(clock.Minute)
+	d.Mover = &mover.Mover{
+		Name: "a/1", Source: source{config}, View: gossiper.Lone{Name: "a", Region: "r"}, Table: away{}, Clock: &d.clock,
+		Upstreams: func() []inventory.Upstream { return nil }, Shares: d.told.set,
+	}
+	mux := drpcmux.New()
+	if err := d.Register(mux); err != nil {
+		tb.Fatal(err)
+	}
+	near, far := net.Pipe()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = drpcserver.New(mux).ServeOne(ctx, far) }()
+	conn := drpcconn.New(near)
+	d.client = wire.NewDRPCMovesClient(conn)
+	running := make(chan struct{})
+	go func() {
+		defer close(running)
+		d.Run(ctx)
+	}()
+	tb.Cleanup(func() {
+		cancel()
+		<-running
+		_ = conn.Close()
+	})
+	return d
+}
+
+// exchange sends a plan with the share, as the leader of the epoch does.
+func (d *daemon) exchange(epoch, attempt, acknowledged int64, share float64) (out *wire.MoveEvidence, err error) {
+	return d.client.Exchange(context.Background(), &wire.MovePlans{
+		Epoch: epoch, Leader: "b", Acknowledged: acknowledged,
+		Plans: []*wire.MovePlan{{
+			Move: "m", Pool: "p", From: "v1", To: "v2", Attempt: attempt, Watched: true, Shares: map[string]float64{"v2": share},
+		}},
+	})
+}
+
+func (d *daemon) end(version string, outcome reserver.Outcome, count int) {
+	for range count {
+		d.Observe(granter.Evidence{Upstream: "g1", Version: version, Pool: "p", Route: "a", Outcome: outcome, Tokens: 8, FirstToken: 100, Gap: 20})
+	}
+}
+
+// await fails the test when the condition does not come about.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 500 {
+		if done() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+func requests(out *wire.MoveEvidence) (count int) {
+	for _, g := range out.GetGroups() {
+		count += int(g.GetRequests())
+	}
+	return count
+}
+
+func TestEvidenceReachesTheLeaderOnceAndANewLeaderWhole(t *testing.T) {
+	d := newDaemon(t)
+	if _, err := d.exchange(4, 1, 0, 0.1); err != nil {
+		t.Fatal(err)
+	}
+	d.end("v1", reserver.Whole, 30)
+	d.end("v1", reserver.Cancelled, 5)
+	var number int64
+	await(t, "evidence", func() bool {
+		// Without an acknowledgement the same evidence comes again.
+		out, err := d.exchange(4, 1, 0, 0.1)
+		number = out.GetNumber()
+		return err == nil && requests(out) == 30
+	})
+	if out, err := d.exchange(4, 1, number, 0.1); err != nil || requests(out) != 0 {
+		t.Fatalf("acknowledged evidence came again: %d requests, %v", requests(out), err)
+	}
+	if out, err := d.exchange(5, 1, 0, 0.1); err != nil || requests(out) != 30 {
+		t.Fatalf("a new leader got %d requests, %v", requests(out), err)
+	}
+	if _, err := d.exchange(4, 1, 0, 0.5); err == nil {
+		t.Fatal("the plan of an old leader was taken")
+	}
+	if share, _ := d.told.share(); share != 0.1 {
+		t.Fatalf("share %g, want that of the new leader", share)
+	}
+}
+
+func TestBadVersionIsStoppedWithoutTableAndLeader(t *testing.T) {
+	d := newDaemon(t)
+	if _, err := d.exchange(1, 1, 0, 0.1); err != nil {
+		t.Fatal(err)
+	}
+	d.end("v1", reserver.Whole, 200)
+	d.end("v2", reserver.Failed, 30)
+	await(t, "the stop", func() bool {
+		share, named := d.told.share()
+		return named && share == 0
+	})
+	// The leader learns of it, and its share does not come back.
+	out, err := d.exchange(1, 1, 0, 0.1)
+	if err != nil || len(out.GetStops()) != 1 {
+		t.Fatalf("%d stops told, %v", len(out.GetStops()), err)
+	}
+	if share, _ := d.told.share(); share != 0 {
+		t.Fatalf("share %g after the stop", share)
+	}
+	if _, err = d.exchange(1, 2, 0, 0.1); err != nil {
+		t.Fatal(err)
+	}
+	if share, _ := d.told.share(); share != 0.1 {
+		t.Fatalf("share %g of a move that was started again", share)
+	}
+}
+
+// BenchmarkEvidence measures what a daemon sends in a second at its part of
+// the peak: 27 requests a second of one moving pool.
+func BenchmarkEvidence(b *testing.B) {
+	d := newDaemon(b)
+	r := rand.New(rand.NewPCG(1, 1))
+	_, err := d.exchange(1, 1, 0, 0.1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	acknowledged, bytes, rounds := int64(0), 0, 0
+	for b.Loop() {
+		for range 27 {
+			d.Observe(granter.Evidence{
+				Upstream: []string{"g1", "g2", "g3", "g4", "g5"}[r.IntN(5)], Version: []string{"v1", "v2"}[r.IntN(2)], Pool: "p",
+				Route: []string{"a", "b", "c", "d"}[r.IntN(4)], Outcome: reserver.Whole, Tokens: 1 + r.IntN(400),
+				FirstToken: clock.Millis(50 + r.IntN(800)), Gap: clock.Millis(20 + r.IntN(60)), Running: r.IntN(16),
+			})
+		}
+		time.Sleep(time.Second)
+		out, err := d.exchange(1, 1, acknowledged, 0.1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		acknowledged = out.GetNumber()
+		bytes += proto.Size(out)
+		rounds++
+	}
+	b.ReportMetric(float64(bytes)/float64(rounds), "bytes/s")
+}
