Scheduler: a version never catches up above its share

Cause: requests granted while a version had no upstream counted towards its share, so that its first upstream got most of what followed. Change: a version is owed one request at most.

--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -149,6 +149,26 @@
 	}
 }
 
+// TestVersionDoesNotCatchUp gives a version its first upstream after many
+// requests: it gets its share of those that follow and no more.
+func TestVersionDoesNotCatchUp(t *testing.T) {
+	b := newBench(1000, 1000)
+	b.send(scheduler.Load{Upstream: "u0", Version: "v1"}, scheduler.Load{Upstream: "u1", Version: "v1"})
+	b.send(scheduler.Shares{Shares: map[string]float64{"v2": 0.1}})
+	serve := func(from, to uint64) {
+		for i := from; i < to; i++ {
+			b.send(b.ask(i, 0), scheduler.FirstToken{ID: id(i)}, whole(i))
+		}
+	}
+	serve(0, 500)
+	before := counted(b, "u1")
+	b.send(scheduler.Load{Upstream: "u1", Version: "v2"})
+	serve(500, 600)
+	if given := counted(b, "u1") - before; given < 9 || given > 11 {
+		t.Fatalf("%d of 100 went to the new version, want 10", given)
+	}
+}
+
 func TestVersionShare(t *testing.T) {
 	b := newBench(1000, 1000)
 	b.send(scheduler.Load{Upstream: "u0", Version: "v1"}, scheduler.Load{Upstream: "u1", Version: "v2"})
--- a/daemon/scheduler/shares.go
+++ b/daemon/scheduler/shares.go
@@ -54,9 +54,10 @@
 	return ""
 }
 
-// count notes a grant.
+// count notes a grant. A version that had no upstream for a while is owed one
+// request at most, so that it never catches up above its share.
 func (h *shares) count(a *ask) {
-	for version := range h.Shares.Shares {
+	for version, share := range h.Shares.Shares {
 		if !h.permits(version, a) {
 			continue
 		}
@@ -68,5 +69,6 @@
 			h.total[version] /= 2
 			h.given[version] /= 2
 		}
+		h.given[version] = max(h.given[version], share*h.total[version]-1)
 	}
 }
