Stager: a later stage without requests finishes by the date

Cause: where traffic dried up, or a daemon died with its counts, a move stood at its stage for good. Change: past the first stage, with nothing against the version, the last stage begins when the plan ends.

--- a/daemon/stager/plan.go
+++ b/daemon/stager/plan.go
@@ -43,6 +43,8 @@
 	// early is when the stage may end if all is well, late when the plan needs
 	// the next stage to begin.
 	early, late clock.Millis
+	// end is when the last stage must begin.
+	end clock.Millis
 }
 
 // plan returns the present stage's window, counted backwards from the due date
@@ -54,6 +56,7 @@
 	return window{
 		early: row.StageStarted + min(clock.Millis(watchShare*float64(span)), maxWatch),
 		late:  row.StageStarted + span,
+		end:   m.Due - reserve,
 	}
 }
 
--- a/daemon/stager/stager.go
+++ b/daemon/stager/stager.go
@@ -167,6 +167,9 @@
 	switch {
 	case in.Now >= in.Move.Due && row.Stage == 0 && !enough(fresh, old):
 		return dueWithoutEvidence(in, row, len(shares)-1)
+	case in.Now >= times.end && row.Stage > 0:
+		// Earlier stages have shown enough, and nothing was found since.
+		return raise(in, row, len(shares)-1, 1, "the date is near and nothing speaks against the new version")
 	case !enough(fresh, old):
 		row.Why = "too few requests on the new version yet"
 		return row
--- a/daemon/stager/stager_test.go
+++ b/daemon/stager/stager_test.go
@@ -132,6 +132,19 @@
 	}
 }
 
+// TestLaterStageWithoutRequestsFinishesByTheDate covers traffic that dries up
+// and counts that were lost with a daemon.
+func TestLaterStageWithoutRequestsFinishesByTheDate(t *testing.T) {
+	w := newWorld(nil)
+	for w.in.Row.Stage == 0 {
+		w.step(90, 10)
+	}
+	w.in.Evidence.Total = judge.Window{}
+	if !w.until(stager.PhaseSoaking, 600, 1, 0) || w.in.Row.Finished > w.in.Move.Due {
+		t.Fatalf("not finished by the date: %+v", w.in.Row)
+	}
+}
+
 func TestShareDoesNotGrowWithoutTheTable(t *testing.T) {
 	w := newWorld(nil)
 	w.until(stager.PhaseStaged, 20, 90, 10)
