Flight records use snake case; the replay of an empty record is a list

Cause: a record of the demo's daemons had Outcome and OutputTokens, and an empty one printed null. Change: tags on reserver.Usage, an empty list.

--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -26,8 +26,8 @@
 
 // Usage is what a finished attempt cost.
 type Usage struct {
-	Outcome      Outcome
-	OutputTokens int
+	Outcome      Outcome `json:"outcome"`
+	OutputTokens int     `json:"output_tokens"`
 }
 
 // Slot is the right to send one request to one upstream.
--- a/replayer/runner/record.go
+++ b/replayer/runner/record.go
@@ -28,6 +28,7 @@
 // RunRecord feeds the scheduler messages of a flight record to schedulers.
 func RunRecord(records []recorder.Record) (results []RecordResult, err error) {
 	states := map[string]*scheduler.State{}
+	results = []RecordResult{}
 	var shards []string
 	sums := map[string]*RecordResult{}
 	for _, r := range records {
