Members are listed once for each piece of news, not for each request

Cause: each request asks the view several times; the list was built anew. Change: the gossiper keeps the list until the next message.

--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,6 +50,8 @@
 	// mu guards core.
 	mu   sync.Mutex
 	core *Core
+	// members is what Members returned since the last message; nil before.
+	members atomic.Pointer[[]Member]
 	// calls counts the effects in progress.
 	calls sync.WaitGroup
 }
@@ -81,9 +84,14 @@
 // Members implements View.
 func (g *Gossiper) Members() []Member {
 	g.setup()
+	if members := g.members.Load(); members != nil {
+		return *members
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Members()
+	members := g.core.Members()
+	g.members.Store(&members)
+	return members
 }
 
 // Known returns all members that are remembered, the dead ones included,
@@ -138,6 +146,7 @@
 	g.setup()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.members.Store(nil)
 	return g.core.Handle(g.Clock.Now(), m)
 }
 
--- a/daemon/gossiper/member.go
+++ b/daemon/gossiper/member.go
@@ -62,7 +62,7 @@
 	// Self returns this daemon.
 	Self() Member
 	// Members returns all that are known and not dead, this daemon included,
-	// sorted by name.
+	// sorted by name. The list is shared and never changed by anyone.
 	Members() []Member
 }
 
--- a/daemon/gossiper/size_test.go
+++ b/daemon/gossiper/size_test.go
@@ -45,3 +45,15 @@
 		})
 	}
 }
+
+// BenchmarkMembers is what each request asks of the view at full size.
+func BenchmarkMembers(b *testing.B) {
+	g := &gossiper.Gossiper{Own: gossiper.Member{Name: "self", Region: "r"}, Clock: clock.System{}}
+	g.Learn(350)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(g.Members()) != 351 {
+			b.Fatal("members are missing")
+		}
+	}
+}
