--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,7 +20,7 @@
 
 // Bounds of the calls between daemons.
 const (
-	// exchangeTimeout bounds one try over one connection.
+	// exchangeTimeout is the default of Timeout.
 	exchangeTimeout = 400 * clock.Millisecond
 	// reachTimeout bounds the probe through helpers.
 	reachTimeout = 1500 * clock.Millisecond
@@ -45,6 +46,8 @@
 	Report func() Report
 	// Registerer takes the metrics; nil for none.
 	Registerer prometheus.Registerer
+	// Timeout bounds one try of an exchange; 0 stands for 400 ms.
+	Timeout clock.Millis
 
 	once sync.Once
 	// mu guards core.
@@ -214,7 +217,7 @@
 }
 
 func (g *Gossiper) swap(ctx context.Context, e Exchange, fresh bool) (reply Packet, err error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(g.Timeout, exchangeTimeout).Duration())
 	defer cancel()
 	var conn drpc.Conn
 	if fresh {
