--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -39,6 +39,8 @@
 	helpers = 3
 	// delegates is the number of members of a region that talk to other ones.
 	delegates = 2
+	// joinsAtOnce bounds the addresses tried by a daemon that knows nobody.
+	joinsAtOnce = 8
 	// maxUpdates bounds the rows of a packet that is not whole.
 	maxUpdates = 8
 	// resends times the logarithm of the members is how often a row is sent.
--- a/daemon/gossiper/core_test.go
+++ b/daemon/gossiper/core_test.go
@@ -203,3 +203,16 @@
 		}
 	}
 }
+
+func TestManyDeadSeedsDontHideALiveOne(t *testing.T) {
+	g := newGroup(t, 1, 2)
+	seeds := make([]string, 0, 101)
+	for i := range 100 {
+		seeds = append(seeds, fmt.Sprintf("gone-%d", i))
+	}
+	for _, core := range g.cores {
+		core.Handle(g.now, gossiper.Seeds{Addresses: append(seeds, "r0-0")})
+	}
+	g.run(clock.Minute)
+	g.wantLive(2, gossiper.Alive)
+}
--- a/daemon/gossiper/probe.go
+++ b/daemon/gossiper/probe.go
@@ -207,7 +207,7 @@
 
 // rejoin tries one address at which no live member is known: a seed, or a
 // member that was taken for dead.
-func (c *Core) rejoin() []Effect {
+func (c *Core) rejoin() (effects []Effect) {
 	live := map[string]bool{c.self.PeerListen: true}
 	var lost []string
 	for _, name := range c.names() {
@@ -223,15 +223,15 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	// A daemon that knows nobody tries all seeds at once.
+	c.random.Shuffle(len(candidates), func(i, j int) {
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	})
+	count := 1
 	if len(live) == 1 {
-		return c.join(candidates)
+		// A daemon that knows nobody tries several at once.
+		count = joinsAtOnce
 	}
-	return c.join([]string{candidates[c.random.IntN(len(candidates))]})
-}
-
-func (c *Core) join(addresses []string) (effects []Effect) {
-	for _, address := range addresses[:min(len(addresses), maxUpdates)] {
+	for _, address := range candidates[:min(count, len(candidates))] {
 		effects = append(effects, Exchange{Address: address, Packet: c.packet("", true)})
 	}
 	return effects
