Dispatcher tells the output tokens of an answer

Cause: usage told none, so that empty and short answers of a version could not be told from whole ones, nor gaps between tokens. Change: tokens counted from the events of a stream or the usage of an answer.

--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -140,7 +140,7 @@
 		r.Convictor.Ended(id, false)
 		return NotSent, err
 	}
-	state, err = r.send(ctx, slot, number)
+	state, usage.OutputTokens, err = r.send(ctx, slot, number)
 	usage.Outcome = outcome(ctx, state, err)
 	if errors.Is(err, relayer.ErrDied) {
 		r.Convictor.Died(id)
@@ -173,8 +173,8 @@
 	return nil
 }
 
-// send sends the request and brings the answer.
-func (r *run) send(ctx context.Context, slot reserver.Slot, number int) (state State, err error) {
+// send sends the request and brings the answer with its output tokens.
+func (r *run) send(ctx context.Context, slot reserver.Slot, number int) (state State, tokens int, err error) {
 	ctx, span := otel.Tracer("dispatcher").Start(ctx, "attempt")
 	defer span.End()
 	upstream := slot.Upstream()
@@ -210,7 +210,10 @@
 		r.sent--
 		r.entry.Sent.Store(r.sent > 0)
 	}
-	return state, err
+	if state == Whole {
+		tokens = r.tokens(pull)
+	}
+	return state, tokens, err
 }
 
 // expire cancels an attempt that has brought nothing at the deadline.
--- a/daemon/relayer/resume.go
+++ b/daemon/relayer/resume.go
@@ -87,6 +87,10 @@
 	return res, nil
 }
 
+// Events returns the number of events of the stream that were let through, the
+// end mark included.
+func (p *Pull) Events() int { return p.parsed.passed }
+
 type cancelBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
