--- a/daemon/mover/mover.go
+++ b/daemon/mover/mover.go
@@ -65,6 +65,8 @@
 	seeded seeds
 	// reports are the last ones of the upstreams here, by name.
 	reports map[string]stager.Report
+	// ends are the requests that are not counted yet, the oldest first.
+	ends []ended
 	// number counts the evidence sent to the present leader; unconfirmed is
 	// what the last one held.
 	number      int64
--- a/daemon/mover/mover_test.go
+++ b/daemon/mover/mover_test.go
@@ -114,6 +114,7 @@
 	for range count {
 		d.Observe(granter.Evidence{Upstream: "g1", Version: version, Pool: "p", Route: "a", Outcome: outcome, Tokens: 8, FirstToken: 100, Gap: 20})
 	}
+	d.clock.Advance(2 * clock.Second)
 }
 
 // await fails the test when the condition does not come about.
@@ -208,6 +209,7 @@
 				FirstToken: clock.Millis(50 + r.IntN(800)), Gap: clock.Millis(20 + r.IntN(60)), Running: r.IntN(16),
 			})
 		}
+		d.clock.Advance(2 * clock.Second)
 		time.Sleep(time.Second)
 		out, err := d.exchange(1, 1, acknowledged, 0.1)
 		if err != nil {
--- a/daemon/mover/watch.go
+++ b/daemon/mover/watch.go
@@ -19,6 +19,10 @@
 	"yuccaspread/daemon/stager"
 )
 
+// settleTime is how long after its end a request is counted: two reports of the
+// upstream's version come in between.
+const settleTime = 2 * reportInterval
+
 // Spreading of a stop.
 const (
 	stopTimeout = 300 * clock.Millisecond
@@ -38,6 +42,13 @@
 	applied *scheduler.Shares
 }
 
+// ended is a request that ended at a time and is not counted yet.
+type ended struct {
+	at       clock.Millis
+	evidence granter.Evidence
+	sample   judge.Sample
+}
+
 // Observe takes the end of a request. It implements granter.Observer.
 func (m *Mover) Observe(e granter.Evidence) {
 	m.prepare()
@@ -45,21 +56,41 @@
 	if !counts {
 		return
 	}
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.watches) > 0 {
+		m.ends = append(m.ends, ended{at: now, evidence: e, sample: sample})
+	}
+}
+
+// settle counts the requests that ended long enough ago. What ran on an
+// upstream that has changed its version meanwhile is left out: the scheduler
+// may have learned of the change after the grant. The lock is held.
+func (m *Mover) settle(now clock.Millis) {
 	config := m.Source.Current()
-	upstream, _ := inventory.Lookup(config.Upstreams, e.Upstream)
-	if pool, _ := inventory.Lookup(config.Pools, e.Pool); pool.Kind == inventory.PoolService {
-		sample.Tokens = 1
+	for len(m.ends) > 0 && m.ends[0].at+settleTime <= now {
+		e := m.ends[0]
+		m.ends = m.ends[1:]
+		report, known := m.reports[e.evidence.Upstream]
+		if !known || report.Version == e.evidence.Version {
+			m.count(now, config, e)
+		}
+	}
+}
+
+func (m *Mover) count(now clock.Millis, config *inventory.Config, e ended) {
+	upstream, _ := inventory.Lookup(config.Upstreams, e.evidence.Upstream)
+	if pool, _ := inventory.Lookup(config.Pools, e.evidence.Pool); pool.Kind == inventory.PoolService {
+		e.sample.Tokens = 1
 	}
 	key := judge.Key{
-		Version: e.Version, Route: e.Route, Generation: upstream.Generation,
-		Load: judge.Quarter(e.Running, upstream.Slots),
+		Version: e.evidence.Version, Route: e.evidence.Route, Generation: upstream.Generation,
+		Load: judge.Quarter(e.evidence.Running, upstream.Slots),
 	}
-	now := m.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	for _, w := range m.watches {
-		if w.plan.Pool == e.Pool && w.plan.Watched {
-			w.collector.Add(now, e.Granted, key, sample)
+		if w.plan.Pool == e.evidence.Pool && w.plan.Watched {
+			w.collector.Add(now, e.evidence.Granted, key, e.sample)
 		}
 	}
 }
@@ -83,6 +114,7 @@
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.settle(now)
 	for _, w := range m.watches {
 		window := w.collector.Take(now)
 		if len(window) == 0 {
