--- a/daemon/stager/orders.go
+++ b/daemon/stager/orders.go
@@ -56,9 +56,6 @@
 	OrderLoad OrderKind = "load"
 	// OrderUnload wants the version out of memory once its requests are done.
 	OrderUnload OrderKind = "unload"
-	// OrderAdapter wants an adapter loaded, OrderRole a role taken.
-	OrderAdapter OrderKind = "adapter"
-	OrderRole    OrderKind = "role"
 )
 
 // Order is one order to one upstream.
--- a/replayer/mover/scenario.go
+++ b/replayer/mover/scenario.go
@@ -47,9 +47,11 @@
 	OrdersRefused int `json:"orders_refused"`
 	OrdersStale   int `json:"orders_stale"`
 	OrdersDoubled int `json:"orders_doubled"`
-	// Leaders counts the epochs, TableWrites all writes to the table.
+	// Leaders counts the epochs, TableWrites all writes to the table, and
+	// RowWrites those among them that are no leases.
 	Leaders     int `json:"leaders"`
 	TableWrites int `json:"table_writes"`
+	RowWrites   int `json:"row_writes"`
 	// Unserved counts requests that no upstream could take.
 	Requests int    `json:"requests"`
 	Unserved int    `json:"unserved"`
--- a/replayer/mover/table.go
+++ b/replayer/mover/table.go
@@ -11,8 +11,10 @@
 	version int64
 	lease   elector.Lease
 	rows    map[string]stager.Row
-	writes  int
-	epochs  map[int64]bool
+	// writes counts all writes, rowWrites those of moves.
+	writes    int
+	rowWrites int
+	epochs    map[int64]bool
 }
 
 // effect carries out a call of an elector; lost tells that its reply is lost.
@@ -45,6 +47,7 @@
 		return false
 	}
 	t.writes++
+	t.rowWrites++
 	t.rows[row.Move] = row
 	return true
 }
--- a/replayer/mover/traffic.go
+++ b/replayer/mover/traffic.go
@@ -136,7 +136,7 @@
 	row := r.table.rows[r.move.Name]
 	o := &r.out
 	o.Phase, o.Why = string(row.Phase), row.Why
-	o.Leaders, o.TableWrites = len(r.table.epochs), r.table.writes
+	o.Leaders, o.TableWrites, o.RowWrites = len(r.table.epochs), r.table.writes, r.table.rowWrites
 	serving := 0
 	for _, e := range r.engines {
 		if e.version == r.move.To {
