--- a/daemon/mover/lead.go
+++ b/daemon/mover/lead.go
@@ -67,14 +67,15 @@
 }
 
 // contends tells whether this daemon is one of those that want the lease: the
-// first by the hash of their names, while there is a move.
+// first by the hash of their names, while there is a move. Without one the lease
+// lapses.
 func (l *leading) contends() bool {
-	if l.elector.Leads(l.Clock.Now(), 0) {
-		return true
-	}
 	if len(l.Source.Current().Moves) == 0 {
 		return false
 	}
+	if l.elector.Leads(l.Clock.Now(), 0) {
+		return true
+	}
 	self := l.View.Self()
 	before := 0
 	for _, m := range l.View.Members() {
