The members are read ten times a second, not for each request

Cause: each request read the list of members up to three times. Change: sharder.Assigner keeps it for 100 ms.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -31,8 +31,8 @@
 func reservationDuty() fx.Option {
 	return fx.Module("reservation",
 		fx.Provide(
-			func(source inventory.Source, view gossiper.View) *sharder.Assigner {
-				return &sharder.Assigner{Source: source, View: view}
+			func(source inventory.Source, view gossiper.View, c clock.Clock) *sharder.Assigner {
+				return &sharder.Assigner{Source: source, View: view, Clock: c}
 			},
 			newGranter,
 			newRemote,
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -181,7 +181,7 @@
 		if err = ctx.Err(); err != nil {
 			return nil, err
 		}
-		over := after(ctx, followInterval)
+		var over <-chan struct{}
 		if scheduler, found := r.Assigner.Current().Scheduler(shard.ID); found {
 			l := r.linkTo(scheduler)
 			up, again := r.await(ctx, l)
@@ -194,6 +194,8 @@
 				again = after(ctx, followInterval)
 			}
 			over = again
+		} else {
+			over = after(ctx, followInterval)
 		}
 		if shard.Region != r.View.Self().Region {
 			return nil, errUnreached
--- a/daemon/reserver/spill.go
+++ b/daemon/reserver/spill.go
@@ -115,11 +115,8 @@
 // budget returns this daemon's part of what a tier may send between regions
 // in an hour: all daemons together stay within the rule.
 func (r *Remote) budget(tier int) int64 {
-	daemons := 0
-	for range r.View.Members() {
-		daemons++
-	}
-	return tierOf(r.Source.Current(), tier).CrossRegionBytesPerHour / int64(max(daemons, 1))
+	daemons := max(len(r.Assigner.Current().Members), 1)
+	return tierOf(r.Source.Current(), tier).CrossRegionBytesPerHour / int64(daemons)
 }
 
 func tierOf(config *inventory.Config, rank int) (tier inventory.Tier) {
--- a/daemon/sharder/assigner.go
+++ b/daemon/sharder/assigner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 
+	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/gossiper"
 )
@@ -39,20 +40,31 @@
 type Assigner struct {
 	Source inventory.Source
 	View   gossiper.View
+	// Clock lets the members be read only every membersInterval; nil reads
+	// them each time.
+	Clock clock.Clock
 
 	cache Cache
 
 	mu      sync.Mutex
 	current *Assignment
+	// read is the clock's reading when the members were read.
+	read clock.Millis
 }
 
+// membersInterval is how old the members of an assignment may be.
+const membersInterval = 100 * clock.Millisecond
+
 // Current returns the assignment that follows from what is known now. It is
 // computed anew only when the upstreams or the members have changed.
 func (a *Assigner) Current() *Assignment {
 	layout := a.cache.Layout(a.Source.Current())
-	members := a.View.Members()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.isFresh(layout) {
+		return a.current
+	}
+	members := a.View.Members()
 	if a.current != nil && a.current.Layout == layout && slices.EqualFunc(a.current.Members, members, equal) {
 		return a.current
 	}
@@ -66,6 +78,20 @@
 	return next
 }
 
+// isFresh tells whether the members need not be read again, and notes the
+// time where they do; the lock is held.
+func (a *Assigner) isFresh(layout *Layout) bool {
+	if a.Clock == nil {
+		return false
+	}
+	now := a.Clock.Now()
+	if a.current != nil && a.current.Layout == layout && now-a.read < membersInterval {
+		return true
+	}
+	a.read = now
+	return false
+}
+
 // equal tells whether two members are the same as far as shards are concerned.
 func equal(a, b gossiper.Member) bool {
 	return a.Name == b.Name && a.Region == b.Region && a.PeerListen == b.PeerListen && Carries(a) == Carries(b)
