Key files: a change of any file counts, a failure is logged once

Cause: a file was taken for changed only where the newest time of change among the three moved. A certificate put in place with an older time than the authorities' file was never used. An unusable file was logged once for each connection.

Change: time of change and size of each file are compared; the same failure is logged once until the files were read whole.

Conclusion: changed keys are used by the next connection, whatever their times.

--- a/common/reloader/reloader.go
+++ b/common/reloader/reloader.go
@@ -22,6 +22,10 @@
 
 	mu   sync.Mutex
 	held material
+	// complained is the last error that was logged since the files were last
+	// read whole. Each connection reads files that are unusable again, and the
+	// log shall not grow with connections.
+	complained string
 }
 
 // Files are the names of PEM files. The zero value means no TLS.
@@ -44,19 +48,31 @@
 type material struct {
 	certificate tls.Certificate
 	authorities *x509.CertPool
-	// newest is the newest time of change among the files.
-	newest time.Time
+	// stamps tell whether a file has changed since.
+	stamps stamps
 }
 
+// stamp is what tells one content of a file from the next.
+type stamp struct {
+	changed time.Time
+	size    int64
+}
+
+// stamps are those of the certificate, the key and the authorities. A file
+// that is put in place with an old time of change counts as changed too.
+type stamps [3]stamp
+
 // New reads the files once, so that a mistake shows at the start.
 func New(files Files) (r *Reloader, err error) {
 	r = &Reloader{files: files}
-	newest, err := r.newest()
+	found, err := files.stamps()
 	if err != nil {
 		return nil, err
 	}
-	r.held, err = read(files, newest)
-	return r, err
+	if r.held, err = read(files, found); err != nil {
+		return nil, err
+	}
+	return r, nil
 }
 
 // Server returns a configuration for listening sockets. Each connection sees
@@ -91,46 +107,53 @@
 func (r *Reloader) current() material {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	newest, err := r.newest()
-	if err == nil && newest.Equal(r.held.newest) {
+	found, err := r.files.stamps()
+	if err == nil && found == r.held.stamps {
 		return r.held
 	}
 	var fresh material
 	if err == nil {
-		fresh, err = read(r.files, newest)
+		fresh, err = read(r.files, found)
 	}
 	if err != nil {
-		klog.ErrorS(err, "the old TLS key files stay in use")
+		r.complain(err)
 		return r.held
 	}
 	klog.InfoS("TLS key files read again", "cert_file", r.files.CertFile)
-	r.held = fresh
+	r.held, r.complained = fresh, ""
 	return r.held
 }
 
-func (r *Reloader) newest() (newest time.Time, err error) {
-	for _, name := range []string{r.files.CertFile, r.files.KeyFile, r.files.CAFile} {
+// complain logs an error unless the one before was the same.
+func (r *Reloader) complain(err error) {
+	if r.complained == err.Error() {
+		return
+	}
+	r.complained = err.Error()
+	klog.ErrorS(err, "the old TLS key files stay in use")
+}
+
+func (f Files) stamps() (found stamps, err error) {
+	for i, name := range []string{f.CertFile, f.KeyFile, f.CAFile} {
 		if name == "" {
 			continue
 		}
 		info, err := os.Stat(name)
 		if err != nil {
-			return newest, fmt.Errorf("TLS key files: %w", err)
-		}
-		if info.ModTime().After(newest) {
-			newest = info.ModTime()
+			return found, fmt.Errorf("TLS key files: %w", err)
 		}
+		found[i] = stamp{changed: info.ModTime(), size: info.Size()}
 	}
-	return newest, nil
+	return found, nil
 }
 
-func read(files Files, newest time.Time) (m material, err error) {
+func read(files Files, found stamps) (m material, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("TLS key files: %w", err)
 		}
 	}()
-	m.newest = newest
+	m.stamps = found
 	if m.certificate, err = tls.LoadX509KeyPair(files.CertFile, files.KeyFile); err != nil {
 		return m, err
 	}
--- /dev/null
+++ b/daemon/connector/connector_test.go
@@ -0,0 +1,126 @@
+package connector
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"yuccaspread/common/wire"
+)
+
+// echo answers a packet with itself and counts the calls.
+type echo struct {
+	wire.DRPCGossipServer
+	calls atomic.Int64
+}
+
+func (e *echo) Exchange(_ context.Context, packet *wire.GossipPacket) (*wire.GossipPacket, error) {
+	e.calls.Add(1)
+	return packet, nil
+}
+
+// identity is a certificate that signs itself, and a pool that trusts only it.
+func identity(t *testing.T) (cert tls.Certificate, pool *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	form := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "daemon"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, form, form, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool = x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}, pool
+}
+
+// serve runs a daemon's server that takes clients of the pool only.
+func serve(t *testing.T, cert tls.Certificate, pool *x509.CertPool) (address string, server *echo) {
+	config := &tls.Config{Certificates: []tls.Certificate{cert}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}
+	socket, err := tls.Listen("tcp", "127.0.0.1:0", config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	server = &echo{}
+	if err = wire.DRPCRegisterGossip(mux, server); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- drpcserver.New(mux).Serve(ctx, socket) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return socket.Addr().String(), server
+}
+
+// call makes one call by a connection for single calls; stream by one of its
+// own.
+func call(ctx context.Context, c *Connector, address string) (err error) {
+	conn := c.Call(ctx, address)
+	defer func() { _ = conn.Close() }()
+	_, err = wire.NewDRPCGossipClient(conn).Exchange(ctx, &wire.GossipPacket{})
+	return err
+}
+
+func stream(ctx context.Context, c *Connector, address string) (err error) {
+	conn, err := c.Stream(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = wire.NewDRPCGossipClient(conn).Exchange(ctx, &wire.GossipPacket{})
+	return err
+}
+
+func TestOnlyDaemonsOfTheAuthoritiesConnect(t *testing.T) {
+	cert, pool := identity(t)
+	strange, strangers := identity(t)
+	address, server := serve(t, cert, pool)
+	for name, c := range map[string]struct {
+		config *tls.Config
+		// served is the number of calls that reach the server.
+		served int64
+	}{
+		"right":             {served: 1, config: &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{cert}}},
+		"no certificate":    {config: &tls.Config{RootCAs: pool}},
+		"wrong certificate": {config: &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{strange}}},
+		"wrong server":      {config: &tls.Config{RootCAs: strangers, Certificates: []tls.Certificate{cert}}},
+		"without TLS":       {},
+	} {
+		var config func() *tls.Config
+		if c.config != nil {
+			config = func() *tls.Config { return c.config }
+		}
+		for about, try := range map[string]func(context.Context, *Connector, string) error{"call": call, "stream": stream} {
+			connector := New(config)
+			err := try(t.Context(), connector, address)
+			if served := server.calls.Swap(0); (err == nil) != (c.served > 0) || served != c.served {
+				t.Errorf("%s, %s: %v, %d calls served, want %d", name, about, err, served, c.served)
+			}
+			_ = connector.Close()
+		}
+	}
+}
