Capacity page from measured slopes; a test read a variable without a lock

Change: make capacity runs every slope with at least three sizes, fits lines and writes the tables of docs/CAPACITY.md; benchmarks name their sizes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo development)
 LDFLAGS := -X main.version=$(VERSION)
 
-.PHONY: build demo measure test soak model lint format check-format generate
+.PHONY: build demo measure capacity test soak model lint format check-format generate
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/yuccaspread ./daemon
@@ -31,6 +31,10 @@
 model:
 	@scripts/check_models
 
+# All slopes of docs/CAPACITY.md, and its tables.
+capacity: build
+	@scripts/capacity
+
 lint:
 	for module in $(MODULES); do (cd $$module && golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
--- a/common/inventory/size_test.go
+++ b/common/inventory/size_test.go
@@ -11,18 +11,20 @@
 
 // Sizes of the benchmarks.
 const (
-	manyOrganisations = 18_000
-	manyUpstreams     = 4_500
-	manyRegions       = 6
+	manyUpstreams = 4_500
+	manyRegions   = 6
 )
 
-// large returns a configuration of the full size.
-func large() (c inventory.Config) {
+// sizes are the numbers of organisations.
+var sizes = []int{2_000, 6_000, 18_000}
+
+// large returns a configuration with all upstreams of the full size.
+func large(organisations int) (c inventory.Config) {
 	c = sound()
 	for i := range manyRegions {
 		c.Regions = append(c.Regions, inventory.Region{Name: fmt.Sprintf("region-%d", i), FailureDomains: []string{fmt.Sprintf("domain-%d", i)}})
 	}
-	for i := range manyOrganisations {
+	for i := range organisations {
 		c.Organisations = append(c.Organisations, inventory.Organisation{
 			Name: fmt.Sprintf("organisation-%05d", i), TokenSHA256: hash(i + 10), Weight: 2, RatePerSecond: 5, Concurrency: 20,
 		})
@@ -39,7 +41,7 @@
 
 // change returns a change of one organisation.
 func change(c inventory.Config, i int) inventory.Delta {
-	name := fmt.Sprintf("organisation-%05d", i%manyOrganisations)
+	name := fmt.Sprintf("organisation-%05d", i%len(c.Organisations))
 	entry, _ := inventory.Lookup(c.Organisations, name)
 	entry.Weight = i%7 + 1
 	value, _ := json.Marshal(entry)
@@ -49,9 +51,15 @@
 	}
 }
 
-// BenchmarkFollowAtFullSize is what each daemon does for each change.
-func BenchmarkFollowAtFullSize(b *testing.B) {
-	c := large()
+// BenchmarkFollow is what each daemon does for each change.
+func BenchmarkFollow(b *testing.B) {
+	for _, organisations := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) { followAt(b, organisations) })
+	}
+}
+
+func followAt(b *testing.B, organisations int) {
+	c := large(organisations)
 	rows := make([][]byte, 64)
 	for i := range rows {
 		rows[i], _ = json.Marshal(change(c, i))
@@ -71,9 +79,15 @@
 	b.ReportMetric(float64(len(rows[0])), "B/change")
 }
 
-// BenchmarkAcceptAtFullSize is what the accepting daemon does besides.
-func BenchmarkAcceptAtFullSize(b *testing.B) {
-	c := large()
+// BenchmarkAccept is what the accepting daemon does besides.
+func BenchmarkAccept(b *testing.B) {
+	for _, organisations := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) { acceptAt(b, organisations) })
+	}
+}
+
+func acceptAt(b *testing.B, organisations int) {
+	c := large(organisations)
 	for i := 0; b.Loop(); i++ {
 		d := change(c, i)
 		next, err := c.Apply(d)
@@ -87,9 +101,15 @@
 	}
 }
 
-// BenchmarkHeldAtFullSize tells the memory that one configuration holds.
-func BenchmarkHeldAtFullSize(b *testing.B) {
-	whole, _ := json.Marshal(large())
+// BenchmarkHeld tells the memory that one configuration holds.
+func BenchmarkHeld(b *testing.B) {
+	for _, organisations := range sizes {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) { heldAt(b, organisations) })
+	}
+}
+
+func heldAt(b *testing.B, organisations int) {
+	whole, _ := json.Marshal(large(organisations))
 	var before, after runtime.MemStats
 	for b.Loop() {
 		runtime.GC()
@@ -101,7 +121,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(&c)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB/config")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B_config")
 	}
-	b.ReportMetric(float64(len(whole))/(1<<20), "MB/json")
+	b.ReportMetric(float64(len(whole)), "B_json")
 }
--- a/daemon/claimer/bench_test.go
+++ b/daemon/claimer/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,7 +32,7 @@
 // spacing is that of six regions.
 func BenchmarkClaims(b *testing.B) {
 	for _, rate := range []int{10, 100, 2000} {
-		b.Run(strconv.Itoa(rate)+"_per_second", func(b *testing.B) { claimAt(b, rate) })
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) { claimAt(b, rate) })
 	}
 }
 
--- a/daemon/drainer/drainer_test.go
+++ b/daemon/drainer/drainer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,13 @@
 
 func TestDrainKeepsTheLongestLifetimeGivenOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lifetime := 20 * clock.Second
+		// Run reads the lifetime in a goroutine of its own.
+		var lifetime atomic.Int64
+		lifetime.Store(int64(20 * clock.Second))
 		left := clock.Millis(-1)
 		d := &drainer.Drainer{
 			Clock:    wall{},
-			Lifetime: func() clock.Millis { return lifetime },
+			Lifetime: func() clock.Millis { return clock.Millis(lifetime.Load()) },
 			Spread:   func() clock.Millis { return 3 * clock.Second },
 		}
 		d.Leave = func(context.Context) { left = wall{}.Now() }
@@ -29,7 +32,7 @@
 		defer cancel()
 		go d.Run(ctx)
 		time.Sleep(10 * time.Second)
-		lifetime = clock.Second
+		lifetime.Store(int64(clock.Second))
 		time.Sleep(5 * time.Second)
 		before := wall{}.Now()
 		d.Drain(ctx)
--- a/daemon/gossiper/size_test.go
+++ b/daemon/gossiper/size_test.go
@@ -20,7 +20,7 @@
 // of them sends and computes.
 func BenchmarkGossip(b *testing.B) {
 	for _, members := range []int{10, 60, 350} {
-		b.Run(fmt.Sprint(members), func(b *testing.B) {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
 			regions := min(6, members/5)
 			for b.Loop() {
 				g := newGroup(nil, regions, (members+regions-1)/regions)
--- a/daemon/granter/cost_test.go
+++ b/daemon/granter/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -99,9 +100,18 @@
 	}
 }
 
+// BenchmarkAskToGrant measures a reservation over drpc, for prompts of so many
+// blocks.
 func BenchmarkAskToGrant(b *testing.B) {
+	for _, blocks := range []int{0, 8, 32} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) { askToGrant(b, blocks) })
+	}
+}
+
+func askToGrant(b *testing.B, blocks int) {
 	ingress, bytes := remotePair(b)
 	req := longRequest()
+	req.PrefixHashes = req.PrefixHashes[:blocks]
 	req.Deadline += clock.Hour
 	oneRequest(b, ingress, req)
 	before := bytes.Load()
--- a/daemon/judge/judge_test.go
+++ b/daemon/judge/judge_test.go
@@ -1,6 +1,7 @@
 package judge_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -146,12 +147,18 @@
 	}
 }
 
+// BenchmarkJudgement judges a second's requests to 3 models on 5 generations
+// and 4 routes; 9,300 are the peak.
 func BenchmarkJudgement(b *testing.B) {
-	// 4,500 upstreams of 3 models and 5 generations on 4 routes at the peak of
-	// 9,300 requests a second, judged once a second.
+	for _, requests := range []int{3100, 9300, 27900} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) { judgeSecond(b, requests) })
+	}
+}
+
+func judgeSecond(b *testing.B, requests int) {
 	r := rand.New(rand.NewPCG(1, 1))
 	windows := make([]judge.Window, 3)
-	for range 9300 {
+	for range requests {
 		at := r.IntN(3)
 		if windows[at] == nil {
 			windows[at] = judge.Window{}
--- a/daemon/keeper/keeper_test.go
+++ b/daemon/keeper/keeper_test.go
@@ -129,7 +129,12 @@
 // BenchmarkMemory measures what a running request and a kept answer of 1 KB
 // take besides the goroutines that serve them.
 func BenchmarkMemory(b *testing.B) {
-	const count = 10_000
+	for _, requests := range []int{1_000, 4_000, 16_000} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) { requestMemory(b, requests) })
+	}
+}
+
+func requestMemory(b *testing.B, count int) {
 	body := make([]byte, 1<<10)
 	for b.Loop() {
 		k := &keeper.Keeper{Clock: &clock.Manual{}}
@@ -145,8 +150,8 @@
 			k.End(entry, nil)
 		}
 		kept := heap()
-		b.ReportMetric(float64(running-before)/count, "B/running")
-		b.ReportMetric(float64(kept-before)/count, "B/kept")
+		b.ReportMetric(float64(running-before), "B_running")
+		b.ReportMetric(float64(kept-before), "B_kept")
 		runtime.KeepAlive(entries)
 		runtime.KeepAlive(k)
 	}
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -230,8 +230,14 @@
 	}
 }
 
-// BenchmarkMemory tells what 18,000 organisations cost while they are busy.
+// BenchmarkMemory tells what organisations cost while they are busy.
 func BenchmarkMemory(b *testing.B) {
+	for _, organisations := range []int{2_000, 6_000, 18_000} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) { busyMemory(b, organisations) })
+	}
+}
+
+func busyMemory(b *testing.B, organisations int) {
 	terms := limiter.TermsOf(inventory.Organisation{RatePerSecond: 10, Concurrency: 5, TokensPerSecond: 100})
 	for b.Loop() {
 		var before, after runtime.MemStats
@@ -239,13 +245,13 @@
 		runtime.ReadMemStats(&before)
 		var lender limiter.Lender
 		var borrower limiter.Borrower
-		for i := range 18_000 {
+		for i := range organisations {
 			name := fmt.Sprint("organisation-", i)
 			borrower.Take(0, name, lender.Lend(0, "d1", terms, borrower.Want(0, name, 10), false))
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/18_000, "bytes/organisation")
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B")
 		runtime.KeepAlive(&lender)
 		runtime.KeepAlive(&borrower)
 	}
--- a/daemon/mover/mover_test.go
+++ b/daemon/mover/mover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -191,9 +192,15 @@
 	}
 }
 
-// BenchmarkEvidence measures what a daemon sends in a second at its part of
-// the peak: 27 requests a second of one moving pool.
+// BenchmarkEvidence measures what a daemon sends in a second at so many
+// requests a second of one moving pool; 27 are its part of the peak.
 func BenchmarkEvidence(b *testing.B) {
+	for _, requests := range []int{9, 27, 81} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) { evidenceBytes(b, requests) })
+	}
+}
+
+func evidenceBytes(b *testing.B, requests int) {
 	d := newDaemon(b)
 	r := rand.New(rand.NewPCG(1, 1))
 	_, err := d.exchange(1, 1, 0, 0.1)
@@ -202,7 +209,7 @@
 	}
 	acknowledged, bytes, rounds := int64(0), 0, 0
 	for b.Loop() {
-		for range 27 {
+		for range requests {
 			d.Observe(granter.Evidence{
 				Upstream: []string{"g1", "g2", "g3", "g4", "g5"}[r.IntN(5)], Version: []string{"v1", "v2"}[r.IntN(2)], Pool: "p",
 				Route: []string{"a", "b", "c", "d"}[r.IntN(4)], Outcome: reserver.Whole, Tokens: 1 + r.IntN(400),
--- a/daemon/size_test.go
+++ b/daemon/size_test.go
@@ -75,7 +75,13 @@
 // BenchmarkControl tells the share of a core that a daemon of eight spends
 // while no request comes and a change is accepted each six seconds.
 func BenchmarkControl(b *testing.B) {
-	f := newFleet(b, func(*inventory.Config) {}, eight()...)
+	for _, daemons := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) { idleControl(b, daemons) })
+	}
+}
+
+func idleControl(b *testing.B, daemons int) {
+	f := newFleet(b, func(*inventory.Config) {}, eight()[:daemons]...)
 	revision := int64(1)
 	for b.Loop() {
 		before, start := f.ticks(), time.Now()
--- a/daemon/watcher/cost_test.go
+++ b/daemon/watcher/cost_test.go
@@ -37,7 +37,7 @@
 // bring so many new blocks.
 func BenchmarkReports(b *testing.B) {
 	for _, blocks := range []int{0, 16, 64} {
-		b.Run(fmt.Sprint(blocks, "_blocks"), func(b *testing.B) {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
 			benchmarkReports(b, blocks)
 		})
 	}
--- a/replayer/extrapolator/extrapolator_test.go
+++ b/replayer/extrapolator/extrapolator_test.go
@@ -21,11 +21,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	line, err := extrapolator.Fit(m.Points("BenchmarkGossip", "members", "B/s"))
+	line, err := extrapolator.Fit(m.Points("BenchmarkGossip", "members", "B/s", nil))
 	if err != nil || math.Abs(line.Base-100) > 1e-6 || math.Abs(line.Slope-1) > 1e-9 {
 		t.Fatalf("%+v, %v", line, err)
 	}
-	if _, err = extrapolator.Fit(m.Points("BenchmarkGossip", "absent", "B/s")); err == nil {
+	if _, err = extrapolator.Fit(m.Points("BenchmarkGossip", "absent", "B/s", nil)); err == nil {
 		t.Fatal("a line through nothing")
 	}
 }
--- a/replayer/extrapolator/measurement.go
+++ b/replayer/extrapolator/measurement.go
@@ -85,20 +85,31 @@
 	return name[:at]
 }
 
-// Points returns the measurements of a metric against a variable.
-func (m Measurements) Points(benchmark, variable, metric string) (points []Point) {
+// Points returns the measurements of a metric against a variable, among those
+// that have the given sizes besides.
+func (m Measurements) Points(benchmark, variable, metric string, where map[string]float64) (points []Point) {
 	for _, l := range m.lines {
 		size, sized := l.sizes[variable]
 		value, measured := l.metrics[metric]
-		if l.name == benchmark && sized && measured {
+		if l.name == benchmark && sized && measured && l.has(where) {
 			points = append(points, Point{Size: size, Value: value})
 		}
 	}
 	return points
 }
 
+func (l line) has(sizes map[string]float64) bool {
+	for name, size := range sizes {
+		if l.sizes[name] != size {
+			return false
+		}
+	}
+	return true
+}
+
 // Line is a straight line.
 type Line struct {
+	// Base is the value at size 0, Slope what each unit of the size adds.
 	Base  float64
 	Slope float64
 }
--- a/replayer/extrapolator/page.go
+++ b/replayer/extrapolator/page.go
@@ -135,7 +135,7 @@
 	}{
 		{"processor time", CPU, budgets.CPUPercent},
 		{"memory", Memory, budgets.MemoryMB * 1e6},
-		{"bytes sent", Traffic, budgets.TrafficKB * 1e3},
+		{"bytes sent and received", Traffic, budgets.TrafficKB * 1e3},
 	} {
 		total := 0.0
 		for _, c := range costs {
--- a/replayer/extrapolator/plan.go
+++ b/replayer/extrapolator/plan.go
@@ -11,7 +11,7 @@
 
 // The kinds, with the units of what a daemon or the platform spends.
 const (
-	// CPU rows have metrics in nanoseconds an operation.
+	// CPU rows have metrics in nanoseconds, as scaled.
 	CPU Kind = "cpu"
 	// Traffic rows have metrics in bytes.
 	Traffic Kind = "traffic"
@@ -49,6 +49,10 @@
 	Metric    string `toml:"metric" validate:"required"`
 	// At is the value of the variable at the size to design for.
 	At float64 `toml:"at" validate:"gte=0"`
+	// Where holds further sizes that a measurement must have.
+	Where map[string]float64 `toml:"where"`
+	// Scale turns the metric into the unit of the kind; 0 stands for 1.
+	Scale float64 `toml:"scale" validate:"gte=0"`
 	// PerSecond is how often it happens a second at one daemon; 0 stands for 1.
 	PerSecond float64 `toml:"per_second" validate:"gte=0"`
 	// Control tells whether the row counts against the budgets.
@@ -82,18 +86,21 @@
 			err = fmt.Errorf("%s, %s: %s of %s: %w", row.Duty, row.Quantity, row.Metric, row.Benchmark, err)
 		}
 	}()
-	cost = Cost{Row: row, Points: m.Points(row.Benchmark, row.Variable, row.Metric)}
+	cost = Cost{Row: row, Points: m.Points(row.Benchmark, row.Variable, row.Metric, row.Where)}
 	if cost.Line, err = Fit(cost.Points); err != nil {
 		return cost, err
 	}
-	rate := row.PerSecond
-	if rate == 0 {
-		rate = 1
-	}
-	cost.Amount = max(cost.Line.At(row.At), 0) * rate
+	cost.Amount = max(cost.Line.At(row.At), 0) * orOne(row.PerSecond) * orOne(row.Scale)
 	if row.Kind == CPU {
 		// Nanoseconds a second to percent of a core.
 		cost.Amount /= 1e7
 	}
 	return cost, nil
 }
+
+func orOne(factor float64) float64 {
+	if factor == 0 {
+		return 1
+	}
+	return factor
+}
