--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 
@@ -23,6 +24,7 @@
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
 	"yuccaspread/daemon/retirer"
+	"yuccaspread/daemon/throttler"
 	"yuccaspread/daemon/tuner"
 )
 
@@ -161,7 +163,7 @@
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          klog.NewStandardLogger("INFO"),
+		ErrorLog:          throttledLog(),
 	}
 	l.Append(fx.Hook{
 		OnStart: func(ctx context.Context) (err error) {
@@ -180,6 +182,11 @@
 	})
 }
 
+// throttledLog is a log for what callers and daemons can cause at any rate.
+func throttledLog() *log.Logger {
+	return log.New(throttler.New(klog.NewStandardLogger("INFO").Writer()), "", 0)
+}
+
 func serveOn(server *http.Server, socket net.Listener) {
 	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 		klog.ErrorS(err, "no longer listening")
--- a/daemon/duty_peer.go
+++ b/daemon/duty_peer.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"syscall"
 
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
@@ -55,6 +60,7 @@
 			return err
 		}
 	}
+	options := drpcserver.Options{Log: peerLog(throttledLog())}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Lifecycle.Append(fx.Hook{
 		OnStart: func(start context.Context) (err error) {
@@ -63,7 +69,7 @@
 				return err
 			}
 			go func() {
-				if err := drpcserver.New(mux).Serve(ctx, socket); err != nil && ctx.Err() == nil {
+				if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, socket); err != nil && ctx.Err() == nil {
 					klog.ErrorS(err, "no longer serving daemons")
 				}
 			}()
@@ -76,3 +82,16 @@
 	})
 	return nil
 }
+
+// peerLog tells which connections were refused, for example because of a
+// missing certificate; those that end in the usual ways are left out.
+func peerLog(out *log.Logger) func(err error) {
+	return func(err error) {
+		for _, usual := range []error{io.EOF, context.Canceled, net.ErrClosed, syscall.ECONNRESET} {
+			if errors.Is(err, usual) {
+				return
+			}
+		}
+		out.Printf("connection of a daemon failed: %v", err)
+	}
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -36,17 +36,28 @@
 	ports   map[string]string
 	daemons []*exec.Cmd
 	regions []string
+	// extra ends the settings of each daemon.
+	extra string
+	// secure takes calls of daemons that serve TLS; nil calls in the clear.
+	secure *http.Client
 }
 
 // newFleet builds the programs, starts the stand-ins and one daemon for each
 // of the regions, brings the demo's inventory and rules in force as changed by
 // edit, and waits until all daemons are ready.
 func newFleet(t testing.TB, edit func(*inventory.Config), regions ...string) *fleet {
+	t.Helper()
+	return (&fleet{t: t, regions: regions}).begin(edit)
+}
+
+// begin does what newFleet does for a fleet with extra settings.
+func (f *fleet) begin(edit func(*inventory.Config)) *fleet {
+	t, regions := f.t, f.regions
 	t.Helper()
 	if test, found := t.(*testing.T); found {
 		test.Parallel()
 	}
-	f := &fleet{t: t, folder: t.TempDir(), ports: map[string]string{}, regions: regions}
+	f.folder, f.ports = t.TempDir(), map[string]string{}
 	t.Cleanup(f.logs)
 	for program, folder := range map[string]string{"yuccaspread": ".", "yuccastandin": "../standin"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(f.folder, program), folder)
@@ -157,7 +168,7 @@
 	settings := fmt.Sprintf("name = \"entry-%d\"\nregion = %q\nfailure_domain = %q\nseeds = [%s]\n"+
 		"listen = \"127.0.0.1:%s\"\npeer_listen = \"127.0.0.1:%s\"\nplatform = \"http://127.0.0.1:%s\"\nbootstrap_token_sha256 = %q\n",
 		i, f.regions[i], f.regions[i]+"-1", strings.Join(seeds, ", "),
-		f.ports[fmt.Sprintf("LISTEN_%d", i)], f.ports[fmt.Sprintf("PEERLISTEN_%d", i)], f.ports["PLATFORM"], sum)
+		f.ports[fmt.Sprintf("LISTEN_%d", i)], f.ports[fmt.Sprintf("PEERLISTEN_%d", i)], f.ports["PLATFORM"], sum) + f.extra
 	f.daemons[i] = f.run("yuccaspread", f.write(fmt.Sprintf("daemon-%d", i), settings))
 }
 
@@ -203,12 +214,16 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://127.0.0.1:"+f.ports[port]+path, bytes.NewReader(content))
+	client, base := http.DefaultClient, "http://127.0.0.1:"
+	if f.secure != nil && strings.HasPrefix(port, "LISTEN") {
+		client, base = f.secure, "https://127.0.0.1:"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+f.ports[port]+path, bytes.NewReader(content))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorToken)
-	res, err := http.DefaultClient.Do(req)
+	res, err := client.Do(req)
 	if err != nil {
 		return err
 	}
