Streams are read into two buffers by turns

Cause: each read of a stream allocated 16 KiB, nearly all bytes that a relayed chunk costs.

Change: the reader of a connection keeps two buffers and fills one while the other is in use; the pieces go through an unbuffered channel and are copied before the next one is received.

--- a/daemon/relayer/resume.go
+++ b/daemon/relayer/resume.go
@@ -229,10 +229,13 @@
 	return err
 }
 
-// read passes a body on until it ends or nobody listens.
+// read passes a body on until it ends or nobody listens. A piece may be used
+// until the next one is received: by then the other buffer is filled, and this
+// one is free again.
 func read(body io.Reader, pieces chan<- piece, stop <-chan struct{}) {
-	for {
-		buffer := make([]byte, chunkBytes)
+	var buffers [2][chunkBytes]byte
+	for i := 0; ; i = 1 - i {
+		buffer := buffers[i][:]
 		n, err := body.Read(buffer)
 		select {
 		case pieces <- piece{data: buffer[:n], err: err}:
