--- a/daemon/classifier/classifier.go
+++ b/daemon/classifier/classifier.go
@@ -11,6 +11,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/hasher"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/prompter"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -47,27 +48,6 @@
 	return c.config.Revision
 }
 
-// payload is the part of a model request that matters to scheduling.
-type payload struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
-	Prompt    string `json:"prompt"`
-	Messages  []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
-func (p payload) text() string {
-	var all strings.Builder
-	all.WriteString(p.Prompt)
-	for _, m := range p.Messages {
-		all.WriteString(m.Role + ":" + m.Content + "\n")
-	}
-	return all.String()
-}
-
 // Classify returns the request of the organisation or a *refuser.Refusal.
 func (c *Classifier) Classify(organisation string, head Head, body []byte) (req *Request, err error) {
 	route, content, err := c.route(head, body)
@@ -86,7 +66,7 @@
 		req.Path += "?" + head.Query
 	}
 	if pool.Kind == inventory.PoolModel {
-		text := content.text()
+		text := content.Text()
 		req.PromptTokens = hasher.Tokens(text)
 		req.PrefixHashes = hasher.Prefix(text)
 	}
@@ -116,7 +96,7 @@
 
 // route returns the first route that matches and the parsed body, which is
 // zero for routes to plain services.
-func (c *Classifier) route(head Head, body []byte) (route inventory.Route, content payload, err error) {
+func (c *Classifier) route(head Head, body []byte) (route inventory.Route, content prompter.Request, err error) {
 	var bad error
 	parsed := false
 	for _, r := range c.config.Routes {
@@ -125,7 +105,7 @@
 		}
 		pool, _ := inventory.Lookup(c.config.Pools, r.Pool)
 		if pool.Kind == inventory.PoolService {
-			return r, payload{}, nil
+			return r, prompter.Request{}, nil
 		}
 		if !parsed {
 			bad = json.Unmarshal(body, &content)
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -18,6 +18,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/hasher"
+	"yuccaspread/common/prompter"
 )
 
 // maxBodyBytes bounds a request's body.
@@ -77,16 +78,9 @@
 	role     string
 }
 
-// chatRequest is the part of an OpenAI request that the engine reads.
+// chatRequest is a request on its way through the engine.
 type chatRequest struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
-	Prompt    string `json:"prompt"`
-	Messages  []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
+	prompter.Request
 
 	// version is the one that the request runs on.
 	version string
@@ -94,16 +88,6 @@
 	slowness float64
 }
 
-// Text returns the prompt as one text, whichever form the request has.
-func (c chatRequest) Text() string {
-	var all strings.Builder
-	all.WriteString(c.Prompt)
-	for _, m := range c.Messages {
-		all.WriteString(m.Role + ":" + m.Content + "\n")
-	}
-	return all.String()
-}
-
 // Answer returns the tokens that every engine gives for the prompt.
 func Answer(prompt string, count int) []string {
 	tokens := make([]string, count)
