--- a/operator/apply_test.go
+++ b/operator/apply_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -30,6 +31,7 @@
 		_ = json.NewEncoder(w).Encode(f.config)
 	case f.conflict:
 		w.WriteHeader(http.StatusPreconditionFailed)
+		_, _ = w.Write([]byte(`{"title":"conflict","detail":"two\nlines","differences":[{"author":"anna"}]}`))
 	default:
 		var delta inventory.Delta
 		_ = json.NewDecoder(r.Body).Decode(&delta)
@@ -124,3 +126,43 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestWrongCallsAreToldBeforeAnyCall(t *testing.T) {
+	for _, server := range []string{"", "nonsense", "127.0.0.1:8080", "http://"} {
+		if err := (&control{Server: server, Format: "json"}).prepare(); !errors.Is(err, errUsage) {
+			t.Errorf("server %q: %v", server, err)
+		}
+	}
+	c := &control{Server: "http://127.0.0.1:1", Format: "json"}
+	if err := c.prepare(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.get(context.Background(), "nonsense", ""); !errors.Is(err, errUsage) {
+		t.Errorf("get nonsense: %v", err)
+	}
+	if err := c.importFrom(context.Background(), "", false, false); !errors.Is(err, errUsage) || !strings.Contains(err.Error(), "--file") {
+		t.Errorf("import without a file: %v", err)
+	}
+}
+
+func TestConflictsNameWhoChangedWhat(t *testing.T) {
+	c, _ := start(t, &fakeDaemon{config: present(), conflict: true}, "token")
+	err := c.propose(context.Background(), inventory.Delta{}, false)
+	if err == nil || !strings.Contains(err.Error(), "two\nlines") || !strings.Contains(err.Error(), "anna") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestHelpKeepsTheToken starts the program, as help ends it.
+func TestHelpKeepsTheToken(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "yuccactl")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	help := exec.Command(program, "--help")
+	help.Env = append(os.Environ(), "YUCCACTL_TOKEN=hidden")
+	out, err := help.CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "--token") || strings.Contains(string(out), "hidden") {
+		t.Fatalf("%v\n%s", err, out)
+	}
+}
--- a/operator/control.go
+++ b/operator/control.go
@@ -96,6 +96,9 @@
 	if format != printer.Table && format != printer.JSON {
 		return fmt.Errorf("%w: --output is table or json, not %q", errUsage, c.Format)
 	}
+	if server, err := url.Parse(c.Server); err != nil || server.Host == "" {
+		return fmt.Errorf("%w: --server is a URL like http://192.0.2.1:8080, not %q", errUsage, c.Server)
+	}
 	client := &http.Client{}
 	if c.CAFile != "" {
 		content, err := os.ReadFile(c.CAFile)
--- a/operator/history.go
+++ b/operator/history.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -141,7 +142,7 @@
 	sub.String(&after, "a", "after", "the \"next\" of an earlier page")
 	return command{sub, "print the audit log", func(ctx context.Context) (err error) {
 		var answer audit
-		if err = c.caller.Call(ctx, http.MethodGet, "/v1/admin/audit?after="+after, nil, &answer); err != nil {
+		if err = c.caller.Call(ctx, http.MethodGet, "/v1/admin/audit?after="+url.QueryEscape(after), nil, &answer); err != nil {
 			return err
 		}
 		return c.print(answer)
--- a/operator/main.go
+++ b/operator/main.go
@@ -33,7 +33,6 @@
 func run(ctx context.Context) (err error) {
 	c := &control{
 		Server: "http://127.0.0.1:8080",
-		Token:  os.Getenv("YUCCACTL_TOKEN"),
 		Format: "table",
 		Out:    os.Stdout,
 	}
@@ -54,6 +53,10 @@
 		flaggy.AttachSubcommand(command.sub, 1)
 	}
 	flaggy.Parse()
+	// After the flags, since help prints what a flag holds before.
+	if c.Token == "" {
+		c.Token = os.Getenv("YUCCACTL_TOKEN")
+	}
 	if err = c.prepare(); err != nil {
 		return err
 	}
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -97,16 +97,37 @@
 		return err
 	}
 	if res.StatusCode == http.StatusPreconditionFailed {
-		return fmt.Errorf("%w: %s", ErrConflict, content)
+		return fmt.Errorf("%w: %s", ErrConflict, reason(content))
 	}
 	if res.StatusCode/100 == 4 {
-		return fmt.Errorf("%w: %s: %s", ErrRefused, res.Status, content)
+		return fmt.Errorf("%w: %s: %s", ErrRefused, res.Status, reason(content))
 	}
 	if res.StatusCode/100 != 2 {
-		return fmt.Errorf("%s: %s", res.Status, content)
+		return fmt.Errorf("%s: %s", res.Status, reason(content))
 	}
 	if reply == nil || len(content) == 0 {
 		return nil
 	}
 	return json.Unmarshal(content, reply)
 }
+
+// reason returns the words of a problem for a person: its detail, and the
+// entries that differ where it names any. Other content is returned as it is.
+func reason(content []byte) string {
+	var problem struct {
+		Title       string          `json:"title"`
+		Detail      string          `json:"detail"`
+		Differences json.RawMessage `json:"differences"`
+	}
+	if json.Unmarshal(content, &problem) != nil || problem.Title == "" {
+		return string(content)
+	}
+	text := problem.Title
+	if problem.Detail != "" {
+		text += ": " + problem.Detail
+	}
+	if len(problem.Differences) > 0 {
+		text += "\n" + string(problem.Differences)
+	}
+	return text
+}
