A caller that sends half a body gets its refusal

Cause: the read deadline was lifted before the refusal went out. The server reads what is left of a body before it answers, so a caller that sent half a body and no more never got its 408 and kept its connection and goroutine for ever. One with an unknown token had no deadline at all.

Change: the deadline begins with the request, and only a whole body lifts it.

Conclusion: a slow body is bounded for each request that reaches the listener.

--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -3,6 +3,7 @@
 package listener
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -34,8 +35,7 @@
 
 // Bounds of reading bodies.
 const (
-	// bodyTimeout is the time that a caller may take to send a body.
-	bodyTimeout = 30 * clock.Second
+	defaultBodyTimeout = 30 * clock.Second
 	// defaultHeldBytes bounds the bodies of all requests in progress.
 	defaultHeldBytes = 96 << 20
 	// busyRetry is the pause that a caller is told when that bound is reached.
@@ -50,6 +50,9 @@
 	// HeldBytes bounds the bodies of all requests in progress; 0 stands for
 	// 96 MiB.
 	HeldBytes int64
+	// BodyTimeout is the time that a caller may take to send a body; 0 stands
+	// for 30 seconds.
+	BodyTimeout clock.Millis
 
 	classifier atomic.Pointer[classifier.Classifier]
 	// held is the sum of the bodies of the requests in progress; it never
@@ -81,6 +84,12 @@
 
 func (l *Listener) serve(w *writer, r *http.Request) (err error) {
 	arrived := l.Clock.Now()
+	// Only a whole body lifts the deadline: before a refusal goes out, the
+	// server reads what is left of the body, and a caller that sends no more
+	// must not hold it up. A writer without deadlines, as in tests, only lacks
+	// the bound of time.
+	bound := cmp.Or(l.BodyTimeout, defaultBodyTimeout).Duration()
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bound))
 	id := uuid.NewString()
 	w.Header().Set(classifier.HeaderRequest, id)
 	current := l.current()
@@ -131,12 +140,9 @@
 
 // readBody reads the whole body within the bounds of size and time.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, err error) {
-	control := http.NewResponseController(w)
-	// A writer without deadlines, as in tests, only lacks the bound of time.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout.Duration()))
 	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	var large *http.MaxBytesError
