Throttled log lines without a wrong prefix; unusable settings tested

Cause: klog's standard logger expects a file and a line before each message and put "bad line number" before the throttled ones. The exit status of a daemon that cannot start was not tested.

Change: throttled lines go to klog as messages. A test starts the program with a port in use, an unknown key, absent key files and authorities without a certificate, and expects exit status 1 and the reason.

--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
@@ -184,7 +185,16 @@
 
 // throttledLog is a log for what callers and daemons can cause at any rate.
 func throttledLog() *log.Logger {
-	return log.New(throttler.New(klog.NewStandardLogger("INFO").Writer()), "", 0)
+	return log.New(throttler.New(logLine{}), "", 0)
+}
+
+// logLine is a writer that logs each Write as one message.
+type logLine struct{}
+
+// Write implements io.Writer.
+func (logLine) Write(line []byte) (n int, err error) {
+	klog.InfoS(strings.TrimSpace(string(line)))
+	return len(line), nil
 }
 
 func serveOn(server *http.Server, socket net.Listener) {
--- a/daemon/edges_test.go
+++ b/daemon/edges_test.go
@@ -156,3 +156,38 @@
 		t.Errorf("spans under their parents: %v, want %v", got, want)
 	}
 }
+
+func TestUnusableSettingsEndTheDaemonWithAReason(t *testing.T) {
+	t.Parallel()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	folder := t.TempDir()
+	program := filepath.Join(folder, "yuccaspread")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	f := &fleet{t: t, ports: map[string]string{}}
+	f.reserve("LISTEN", "PEER")
+	free := "listen = \"127.0.0.1:" + f.ports["LISTEN"] + "\"\n"
+	used := socket.Addr().String()
+	for reason, lines := range map[string]string{
+		"listen tcp " + used:        "listen = \"" + used + "\"\n",
+		"line 7: unknown key lisen": free + "lisen = \"x\"\n",
+		"absent.pem: no such file":  free + "[tls]\ncert_file = \"absent.pem\"\nkey_file = \"absent.pem\"\n",
+		"peer_tls.cert_file":        free + "[peer_tls]\nca_file = \"absent.pem\"\n",
+	} {
+		path := filepath.Join(folder, "settings.toml")
+		text := "name = \"e\"\nregion = \"r\"\nfailure_domain = \"r-1\"\npeer_listen = \"127.0.0.1:" + f.ports["PEER"] + "\"\nplatform = \"http://127.0.0.1:1\"\n" + lines
+		if err = os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(program, "--settings", path)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), reason) {
+			t.Errorf("%s: status %d\n%s", reason, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+}
