--- a/common/loader/loader.go
+++ b/common/loader/loader.go
@@ -24,12 +24,20 @@
 	Flags []string
 }
 
+// name returns what the settings are called in errors.
+func (s Source) name() string {
+	if s.Path == "" {
+		return "without a file"
+	}
+	return s.Path
+}
+
 // Load fills settings, a pointer to a struct that holds the defaults, and
 // checks its validate tags. Unknown keys are errors.
 func Load(source Source, settings any) (err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("settings %s:\n%w", source.Path, err)
+			err = fmt.Errorf("settings %s:\n%w", source.name(), err)
 		}
 	}()
 	var content []byte
@@ -59,7 +67,7 @@
 	var all []error
 	for _, f := range fields {
 		_, key, _ := strings.Cut(f.Namespace(), ".")
-		all = append(all, fmt.Errorf("%s%s: %v does not satisfy %q", place(lines, key), key, f.Value(), rule(f)))
+		all = append(all, fmt.Errorf("%s%s: %q does not satisfy %q", place(lines, key), key, fmt.Sprint(f.Value()), rule(f)))
 	}
 	return errors.Join(all...)
 }
--- a/common/loader/loader_test.go
+++ b/common/loader/loader_test.go
@@ -60,8 +60,8 @@
 		t.Fatal("no error")
 	}
 	for _, want := range []string{
-		"line 1: count", "line 2: unknown key colour", "name: ", "line 5: inner.ratio: 2",
-		"line 11: lists[1].port: 70000", "--set nothing: unknown key", "--set count: no value",
+		"line 1: count", "line 2: unknown key colour", "name: ", `line 5: inner.ratio: "2"`,
+		`line 11: lists[1].port: "70000"`, "--set nothing: unknown key", "--set count: no value",
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is missing in:\n%v", want, err)
--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -90,7 +90,7 @@
 
 // again decides whether another attempt follows one that ended in state.
 func (r *run) again(ctx context.Context, slot reserver.Slot, state State, err error) bool {
-	klog.ErrorS(err, "attempt failed", logger.KeyRequest, r.req.ID, logger.KeyUpstream, slot.Upstream().Name, "state", state.String())
+	klog.ErrorS(err, "attempt failed", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, logger.KeyUpstream, slot.Upstream().Name, "state", state.String())
 	r.last = err
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) || ctx.Err() != nil || r.Clock.Now() >= r.req.Deadline || !state.another(r.req.Idempotent) {
--- a/daemon/dispatcher/store.go
+++ b/daemon/dispatcher/store.go
@@ -40,14 +40,14 @@
 			return
 		}
 		if err := r.Objects.Put(ctx, answer.Object, body); err != nil {
-			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID)
+			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation)
 			return
 		}
 	}
 	claim := r.claim
 	r.running.Go(func() {
 		if err := claim.Finish(context.WithoutCancel(ctx), answer); err != nil {
-			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID)
+			klog.ErrorS(err, "answer not stored", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation)
 		}
 	})
 }
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -76,7 +76,7 @@
 		refusal.Write(w)
 		return
 	}
-	klog.ErrorS(err, "answer was cut", logger.KeyRequest, w.Header().Get(classifier.HeaderRequest))
+	klog.ErrorS(err, "answer was cut", logger.KeyRequest, w.Header().Get(classifier.HeaderRequest), logger.KeyOrganisation, tracked.organisation)
 	// The connection is broken off, so that the caller sees that the answer is
 	// not whole.
 	panic(http.ErrAbortHandler)
@@ -94,6 +94,7 @@
 	w.Header().Set(classifier.HeaderRequest, id)
 	current := l.current()
 	organisation, err := current.Organisation(r.Header)
+	w.organisation = organisation
 	if err != nil {
 		return err
 	}
@@ -171,6 +172,8 @@
 type writer struct {
 	http.ResponseWriter
 	begun bool
+	// organisation is whose request it is, once that is known.
+	organisation string
 }
 
 // WriteHeader implements http.ResponseWriter.
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -66,6 +66,9 @@
 
 // serveAll serves until ctx ends, then waits for the calls in progress.
 func serveAll(ctx context.Context, routers map[string]http.Handler) (err error) {
+	if len(routers) == 0 {
+		return errors.New("the settings name no platform, engine or service to serve")
+	}
 	var servers []*http.Server
 	var wait sync.WaitGroup
 	failed := make(chan error, len(routers))
