Half a body holds no connection, on whichever page

Cause: only requests that reach the listener had a bound on the time of their body; half a body sent to an operators' page held its connection for good, even without a token. Change: a read deadline of 30 s on every request; the listener sets its own.

--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
@@ -136,6 +137,9 @@
 	headerTimeout = 5 * clock.Second
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout = 2 * clock.Minute
+	// bodyTimeout is the time that the body of a request to any page may take;
+	// the listener sets its own.
+	bodyTimeout = 30 * clock.Second
 	// maxHeaderBytes bounds the headers of a request.
 	maxHeaderBytes = 32 << 10
 )
@@ -156,11 +160,20 @@
 	return tls.NewListener(socket, keys.Server()), nil
 }
 
+// boundBodies gives every request a span in which its body has to arrive, so
+// that half a body holds no connection for ever on whichever page.
+func boundBodies(span clock.Millis, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(span.Duration()))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serve opens the listening socket at the start. At the stop it serves those
 // who may still come, then waits for the requests in progress.
 func serve(l fx.Lifecycle, s settings, router *mux.Router, d *drainer.Drainer) {
 	server := &http.Server{
-		Handler:           router,
+		Handler:           boundBodies(bodyTimeout, router),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
