--- a/replayer/runner/result.go
+++ b/replayer/runner/result.go
@@ -15,6 +15,9 @@
 	Tiers  []TierResult `json:"tiers"`
 	// WastedPrefillTokens were read for requests that did not end in time.
 	WastedPrefillTokens int64 `json:"wasted_prefill_tokens"`
+	// ExposedPrefillTokens is what the deaths of upstreams would have wasted on
+	// average if each upstream of the shard had been as likely to die.
+	ExposedPrefillTokens int64 `json:"exposed_prefill_tokens"`
 	// TierInversions counts requests that were shed although, while they
 	// waited, a lower tier got a slot that they might have had.
 	TierInversions   int   `json:"tier_inversions"`
--- a/replayer/runner/runner.go
+++ b/replayer/runner/runner.go
@@ -192,6 +192,9 @@
 			r.apply(e.shard, e.shard.policy.Health(r.millis(), health))
 		})
 	}
+	if e.dead && !wasDead {
+		r.expose(e.shard)
+	}
 	if e.dead {
 		for _, j := range e.Drop() {
 			r.fail(e.jobs[j], e)
@@ -200,6 +203,20 @@
 	r.wake(e)
 }
 
+// expose adds what the death of an upstream of a shard costs on average over
+// its upstreams, whichever of them it is.
+func (r *run) expose(s *shard) {
+	total := 0.0
+	for _, u := range s.upstreams {
+		e := r.engines[u.Name]
+		r.advance(e)
+		for job := range e.jobs {
+			total += job.Read
+		}
+	}
+	r.result.ExposedPrefillTokens += int64(total) / int64(len(s.upstreams))
+}
+
 // wake plans the next event of an engine.
 func (r *run) wake(e *engine) {
 	e.turn++
--- a/replayer/runner/runner_test.go
+++ b/replayer/runner/runner_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"testing"
 
+	"yuccaspread/common/clock"
 	"yuccaspread/replayer/checker"
 	"yuccaspread/replayer/generator"
 	"yuccaspread/replayer/parser"
@@ -68,6 +69,31 @@
 	}
 }
 
+// TestExposure lets the only upstream of a region die: what may be lost on
+// average is then what is lost.
+func TestExposure(t *testing.T) {
+	trace, err := generator.Generate("lost_upstreams", 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	trace.Upstreams = trace.Upstreams[:1]
+	trace.Changes = []parser.Change{{AtMS: trace.Requests[len(trace.Requests)/2].AtMS, Upstream: trace.Upstreams[0].Name}}
+	// Nobody leaves before the end, so that only the death wastes anything.
+	end := trace.Requests[len(trace.Requests)-1].AtMS + clock.Minute
+	for i := range trace.Requests {
+		trace.Requests[i].Idempotent = false
+		trace.Requests[i].DeadlineMS = end
+	}
+	result, err := runner.Run(trace, "round_robin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := result.WastedPrefillTokens
+	if lost == 0 || result.ExposedPrefillTokens < lost-int64(trace.Upstreams[0].Slots) || result.ExposedPrefillTokens > lost+int64(trace.Upstreams[0].Slots) {
+		t.Errorf("lost %d tokens, exposed %d", lost, result.ExposedPrefillTokens)
+	}
+}
+
 // TestSameVerdict writes a trace, reads it back and replays it twice.
 func TestSameVerdict(t *testing.T) {
 	trace, err := generator.Generate("lost_upstreams", 5)
@@ -123,7 +149,7 @@
 	raw, _ := json.Marshal(runner.Result{Tiers: []runner.TierResult{{}}})
 	for _, name := range []string{
 		"policy", "tiers", "tier", "offered", "on_time", "late", "shed",
-		"wasted_prefill_tokens", "tier_inversions", "cross_region_bytes",
+		"wasted_prefill_tokens", "exposed_prefill_tokens", "tier_inversions", "cross_region_bytes",
 	} {
 		if !bytes.Contains(raw, []byte(`"`+name+`"`)) {
 			t.Errorf("%s is missing in %s", name, raw)
