Refusals reach callers that still wait

Cause: a caller of a stream leaves when nothing has come for its patience, 2 s or more. Change: the scheduler sheds at the latest 100 ms before the caller leaves. Test: TestRefusalReachesACallerThatStillWaits, failed first.

--- a/daemon/scheduler/lanes.go
+++ b/daemon/scheduler/lanes.go
@@ -11,6 +11,10 @@
 	// lateLanes is how many lanes an ask falls back once it is late: behind the
 	// next tier, before the one after that.
 	lateLanes = 3
+	// refusalWay is the time that a refusal takes to its caller: a tick of the
+	// granter, 50 ms, and the ways through the fleet. A caller that still waits
+	// learns when to come back; one that has left does not.
+	refusalWay = 100 * clock.Millisecond
 )
 
 // lane returns the lane of a tier's asks that are in time.
@@ -34,7 +38,7 @@
 func (a *ask) place(now clock.Millis, shortestMS, firstMS float64) {
 	a.latest = a.Deadline - clock.Millis(shortestMS)
 	if a.Patience > 0 {
-		a.latest = min(a.latest, a.Patience-clock.Millis(firstMS))
+		a.latest = min(a.latest, a.Patience-max(clock.Millis(firstMS), refusalWay))
 	}
 	a.entry.Tier, a.entry.Deadline, a.entry.LatestStart = lane(a.Tier), a.Deadline, a.latest
 	if a.Objective <= 0 {
--- a/daemon/scheduler/lanes_test.go
+++ b/daemon/scheduler/lanes_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+func TestRefusalReachesACallerThatStillWaits(t *testing.T) {
+	const tick, way = 50, 20
+	b := newBench(1)
+	b.send(b.ask(1, 0))
+	a := b.promised(2, 0, 300, 2000)
+	a.PromptTokens = 1
+	b.send(a)
+	for b.now+tick+way <= a.Patience {
+		b.later(tick)
+	}
+	if _, refused := b.refused[2]; !refused {
+		t.Errorf("still waits %d ms before its caller leaves", a.Patience-b.now)
+	}
+}
+
 func TestAskThatWouldWaitInVainIsRefusedAtOnce(t *testing.T) {
 	b := newBench(1)
 	b.send(b.ask(1, 0))
