Followers tell renewed rows seldom, and never pass over a removal

Cause 1: each upstream writes its row again about once a second. Change: what is read of a row decides whether it changed; of the renewals one in eight is told, the same one at all readers, since a reader that reads after a row went and came back sees only a renewal. A reply names the tables that it holds whole where removals may be missing; a large one is told whole only to those that ask, after three peers in a row could tell nothing.

--- a/daemon/follower/copy.go
+++ b/daemon/follower/copy.go
@@ -6,7 +6,10 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Row is one row of the register, or the news that it was removed.
@@ -30,12 +33,23 @@
 // place names a row.
 type place struct{ table, key string }
 
-// Copy holds the rows of some tables. It only ever takes newer rows. Create it
-// with NewCopy; it is not safe for concurrent use.
+// Copy holds the rows of some tables. It only ever takes newer rows. Its
+// exported field is set before use. Create it with NewCopy; it is not safe for
+// concurrent use.
 type Copy struct {
+	// Same tells that two present rows of one place say the same although their
+	// bytes differ; nil for never. Such a row is no change, and few of them are
+	// told to peers: writers that renew their rows cost only those that read.
+	Same func(known, row Row) bool
+
+	// rows holds the newest row of each place that peers are told.
 	rows map[place]Row
+	// renewed holds the newest version of the rows that were written again since.
+	renewed map[place]int64
 	// complete is the version up to which all rows of a table are known.
 	complete map[string]int64
+	// removals is the version of a table after which all removals are known.
+	removals map[string]int64
 }
 
 // maxGone bounds the removed rows that are remembered for the peers.
@@ -43,13 +57,17 @@
 
 // NewCopy returns an empty copy.
 func NewCopy() *Copy {
-	return &Copy{rows: map[place]Row{}, complete: map[string]int64{}}
+	return &Copy{rows: map[place]Row{}, renewed: map[place]int64{}, complete: map[string]int64{}, removals: map[string]int64{}}
 }
 
 // Complete returns the version up to which all rows of a table are known, 0
 // before the first listing.
 func (c *Copy) Complete(table string) int64 { return c.complete[table] }
 
+// Removals returns the version of a table after which all removals are known: a
+// listing names no rows that came and went before it.
+func (c *Copy) Removals(table string) int64 { return c.removals[table] }
+
 // List takes in all rows of a table as they were at a version. Known rows that
 // are not among them were removed. It returns the rows that changed.
 func (c *Copy) List(table string, rows []Row, version int64) (changed []Change) {
@@ -59,18 +77,50 @@
 		changed = c.take(row, changed)
 	}
 	for at, known := range c.rows {
-		if at.table == table && !known.Gone && !listed[at.key] && known.Version <= version {
+		if at.table == table && !known.Gone && !listed[at.key] && max(known.Version, c.renewed[at]) <= version {
 			changed = c.take(Row{Table: table, Key: at.key, Version: version, Gone: true}, changed)
 		}
 	}
 	c.complete[table] = max(c.complete[table], version)
+	c.removals[table] = max(c.removals[table], version)
 	sortChanges(changed)
 	return changed
 }
 
-// Apply takes in changed rows that continue from what is known, up to a
-// version. It returns the rows that changed.
+// Apply takes in changed rows that a peer told, up to a version. It returns the
+// rows that changed.
 func (c *Copy) Apply(table string, rows []Row, version int64) (changed []Change) {
+	return c.apply(table, rows, version)
+}
+
+// Continue takes in what the register changed since the version up to which its
+// table is known here. It returns the rows that changed.
+func (c *Copy) Continue(table string, rows []Row, version int64) (changed []Change) {
+	var told []Row
+	for _, row := range rows {
+		at := place{row.Table, row.Key}
+		known, found := c.rows[at]
+		if found && c.same(known, row) && row.Version > known.Version && !toldAgain(row) {
+			c.renewed[at] = max(c.renewed[at], row.Version)
+			continue
+		}
+		told = append(told, row)
+	}
+	return c.apply(table, told, version)
+}
+
+// renewalsPerNews is the number of renewals of a row of which one, on average, is
+// told to peers. A row that went and came back between two reads looks renewed to
+// one reader and is gone for those that another one told; they learn from the next.
+const renewalsPerNews = 8
+
+// toldAgain chooses the renewals that are told, the same ones at all readers: a
+// choice of each one's own would send each row as often as there are readers.
+func toldAgain(row Row) bool {
+	return xxhash.Sum64String(row.Key+strconv.FormatInt(row.Version, 10))%renewalsPerNews == 0
+}
+
+func (c *Copy) apply(table string, rows []Row, version int64) (changed []Change) {
 	for _, row := range rows {
 		changed = c.take(row, changed)
 	}
@@ -83,7 +133,13 @@
 func (c *Copy) take(row Row, changed []Change) []Change {
 	at := place{row.Table, row.Key}
 	known, found := c.rows[at]
-	if found && known.Version >= row.Version {
+	if found && max(known.Version, c.renewed[at]) >= row.Version {
+		return changed
+	}
+	delete(c.renewed, at)
+	if found && c.same(known, row) {
+		known.Version = row.Version
+		c.rows[at] = known
 		return changed
 	}
 	c.rows[at] = row
@@ -93,6 +149,10 @@
 	return append(changed, Change{Row: row, Before: known.Value})
 }
 
+func (c *Copy) same(known, row Row) bool {
+	return c.Same != nil && !known.Gone && !row.Gone && c.Same(known, row)
+}
+
 // Rows returns the present rows of a table, sorted by key.
 func (c *Copy) Rows(table string) (rows []Row) {
 	for at, row := range c.rows {
@@ -116,7 +176,8 @@
 	return rows
 }
 
-// Newest returns the highest version of a row of a table, 0 without any.
+// Newest returns the highest version at which a row of a table changed, 0
+// without any: all that Newer tells of it is known.
 func (c *Copy) Newest(table string) (version int64) {
 	for at, row := range c.rows {
 		if at.table == table {
@@ -139,7 +200,10 @@
 	}
 	slices.SortFunc(gone, func(a, b Row) int { return int(a.Version - b.Version) })
 	for _, row := range gone[:max(len(gone)-maxGone/2, 0)] {
-		delete(c.rows, place{row.Table, row.Key})
+		at := place{row.Table, row.Key}
+		delete(c.rows, at)
+		delete(c.renewed, at)
+		c.removals[row.Table] = max(c.removals[row.Table], row.Version)
 	}
 }
 
--- a/daemon/follower/copy_test.go
+++ b/daemon/follower/copy_test.go
@@ -53,6 +53,42 @@
 	})
 }
 
+// word is the part of a value that matters to sameWord: its first letter.
+func sameWord(known, row Row) bool { return known.Value[0] == row.Value[0] }
+
+func says(word byte, key string, version int64) Row {
+	return Row{Table: "t", Key: key, Value: fmt.Append([]byte{word}, version), Version: version}
+}
+
+func TestRowThatIsWrittenAgainIsNoNews(t *testing.T) {
+	ahead, behind := NewCopy(), NewCopy()
+	ahead.Same, behind.Same = sameWord, sameWord
+	for _, c := range []*Copy{ahead, behind} {
+		c.List("t", []Row{says('x', "a", 1), says('x', "b", 2)}, 2)
+	}
+	const renewals = 400
+	told := 0
+	for version := int64(3); version < 3+renewals; version++ {
+		if changed := ahead.Continue("t", []Row{says('x', "a", version)}, version); len(changed) != 0 {
+			t.Errorf("changes %+v", changed)
+		}
+		news := ahead.Newer("t", behind.Newest("t"))
+		told += len(news)
+		behind.Apply("t", news, ahead.Newest("t"))
+	}
+	if told == 0 || told > 2*renewals/renewalsPerNews {
+		t.Errorf("%d of %d renewals are told", told, renewals)
+	}
+	// What is older than a renewal takes nothing back.
+	if changed := ahead.List("t", []Row{says('x', "b", 2)}, 2); len(changed) != 0 {
+		t.Errorf("an old listing changed %+v", changed)
+	}
+	changed := ahead.Continue("t", []Row{says('y', "a", 5000)}, 5000)
+	if len(changed) != 1 || len(ahead.Newer("t", behind.Newest("t"))) != 1 {
+		t.Errorf("changes %+v", changed)
+	}
+}
+
 func TestPeerThatIsBehindGetsRemovalsToo(t *testing.T) {
 	ahead, behind := NewCopy(), NewCopy()
 	ahead.List("t", []Row{put("a", 1), put("b", 2)}, 2)
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -102,6 +102,9 @@
 	decoded map[string]entry
 	// lost tells for each table that the last call failed.
 	lost map[string]bool
+	// withheld counts for each table the peers in a row that know more than this
+	// daemon and could not tell what was removed.
+	withheld map[string]int
 }
 
 // entry is a row of an upstream that could be read.
@@ -132,8 +135,10 @@
 		return
 	}
 	f.copy = NewCopy()
+	f.copy.Same = f.same
 	f.decoded = map[string]entry{}
 	f.lost = map[string]bool{}
+	f.withheld = map[string]int{}
 	f.metrics.init(f.Registerer)
 }
 
@@ -172,11 +177,11 @@
 			position = f.known(table)
 			continue
 		}
-		next, changed, err := f.read(ctx, table, position, span)
+		next, some, err := f.read(ctx, table, position, span)
 		switch {
 		case err == nil:
 			position, pause, span = next, minPause, changesWait
-			if changed {
+			if some {
 				wait(ctx, gatherPause)
 			}
 		case errors.Is(err, ErrHistory) && position != unlisted:
@@ -205,7 +210,7 @@
 
 // read makes one call, which waits for changes for at most a span, and takes in
 // what it brings.
-func (f *Follower) read(ctx context.Context, table string, position int64, span clock.Millis) (next int64, changed bool, err error) {
+func (f *Follower) read(ctx context.Context, table string, position int64, span clock.Millis) (next int64, some bool, err error) {
 	var rows []Row
 	if position == unlisted {
 		rows, next, err = f.Register.List(ctx, table)
@@ -225,7 +230,7 @@
 	if position == unlisted {
 		changes = f.copy.List(table, rows, next)
 	} else {
-		changes = f.copy.Apply(table, rows, next)
+		changes = f.copy.Continue(table, rows, next)
 	}
 	f.noteLapses(changes)
 	f.adopt(changes, "register")
@@ -233,7 +238,7 @@
 	if len(changes) > 0 && f.Peers != nil {
 		f.Peers.Spread(ctx)
 	}
-	return next, len(changes) > 0, nil
+	return next, len(rows) > 0, nil
 }
 
 func (f *Follower) failed(table string, err error) {
@@ -352,6 +357,20 @@
 	return list
 }
 
+// same tells that an upstream wrote its row again and nothing that is read of it
+// changed; the lock is held.
+func (f *Follower) same(known, row Row) bool {
+	if row.Table != f.Tables.Upstreams {
+		return bytes.Equal(known.Value, row.Value)
+	}
+	e := f.decoded[row.Key]
+	if e.value == nil || !bytes.Equal(e.value, known.Value) || !e.valid {
+		return false
+	}
+	u, err := f.Decoder.Upstream(row.Key, row.Value)
+	return err == nil && u == e.upstream
+}
+
 func (f *Follower) decode(row Row) entry {
 	u, err := f.Decoder.Upstream(row.Key, row.Value)
 	if err != nil {
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,9 +108,14 @@
 func (wall) Now() clock.Millis { return clock.At(time.Now()) }
 
 func follow(t *testing.T, r *register) *follower.Follower {
+	t.Helper()
+	return followAndTell(t, r, nil)
+}
+
+func followAndTell(t *testing.T, r *register, peers follower.Peers) *follower.Follower {
 	t.Helper()
 	f := &follower.Follower{
-		Register: r, Decoder: decoder{}, Clock: wall{},
+		Register: r, Decoder: decoder{}, Clock: wall{}, Peers: peers,
 		Tables: follower.Tables{Config: "c", ConfigKey: "k", Upstreams: "u"},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -211,6 +218,35 @@
 	})
 }
 
+// counter counts what peers are told.
+type counter struct{ spread atomic.Int64 }
+
+func (*counter) Meet(context.Context)     {}
+func (c *counter) Spread(context.Context) { c.spread.Add(1) }
+
+func TestRenewedRowsAreNotToldToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, peers := &register{}, &counter{}
+		r.set("c", "k", first)
+		r.set("u", "a", `{"pool":"p","beat":0}`)
+		f := followAndTell(t, r, peers)
+		time.Sleep(3 * time.Second)
+		before, told := f.Current(), peers.spread.Load()
+		for beat := range 10 {
+			r.set("u", "a", fmt.Sprintf(`{"pool":"p","beat":%d}`, beat+1))
+			time.Sleep(time.Second)
+		}
+		if f.Current() != before || peers.spread.Load() != told {
+			t.Errorf("10 renewals were told %d times", peers.spread.Load()-told)
+		}
+		r.set("u", "a", `{"pool":"p","beat":11,"leaving":true}`)
+		time.Sleep(time.Second)
+		if !f.Current().Upstreams[0].Leaving || peers.spread.Load() == told {
+			t.Error("a change was not told")
+		}
+	})
+}
+
 func TestDroppedHistoryIsListedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &register{}
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,13 @@
 	syncTimeout = 500 * clock.Millisecond
 	// spreadPeers is the number of peers that hear of news at once.
 	spreadPeers = 3
+	// wholeRows is the size of a table that is told whole to each peer that may
+	// lack a removal; a larger one only to those that ask for it, since most learn
+	// what they lack from the next peer.
+	wholeRows = 64
+	// mostWithheld is the number of peers in a row that told nothing although they
+	// know more, after which a table is asked for whole: two seconds of meetings.
+	mostWithheld = 3
 )
 
 // Exchanger is the Peers of a Follower over drpc. Its exported fields are set
@@ -116,7 +124,7 @@
 	defer func() { _ = conn.Close() }()
 	self := x.View.Self()
 	reply, err := wire.NewDRPCFollowClient(conn).Sync(ctx, &wire.SyncRequest{
-		Daemon: self.Name, PeerListen: self.PeerListen, Have: x.Follower.have(),
+		Daemon: self.Name, PeerListen: self.PeerListen, Have: x.Follower.asks(),
 	})
 	if err != nil {
 		klog.V(1).InfoS("peer not asked for news", "peer", address, "error", err.Error())
@@ -125,7 +133,7 @@
 	x.mu.Lock()
 	x.heard = x.Follower.Clock.Now()
 	x.mu.Unlock()
-	if x.Follower.takeRows(reply.GetRows(), reply.GetHave(), address) {
+	if x.Follower.takeReply(reply, address) {
 		x.Spread(context.WithoutCancel(ctx))
 	}
 }
@@ -162,7 +170,7 @@
 	if x.Follower.lacks(in.GetHave()) && in.GetPeerListen() != "" {
 		go x.sync(context.WithoutCancel(ctx), in.GetPeerListen())
 	}
-	return &wire.SyncReply{Rows: x.Follower.newer(in.GetHave()), Have: x.Follower.have()}, nil
+	return x.Follower.reply(in.GetHave()), nil
 }
 
 // have returns the newest version that is known of each table. All rows up to
@@ -198,47 +206,84 @@
 	return false
 }
 
-// newer returns the rows that a peer lacks.
-func (f *Follower) newer(theirs []*wire.TableVersion) (rows []*wire.FollowedRow) {
-	f.setup()
+// asks returns what is told to a peer that is asked for news: have, but for the
+// tables that are wanted whole.
+func (f *Follower) asks() (have []*wire.TableVersion) {
+	have = f.have()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range have {
+		if f.withheld[v.GetTable()] >= mostWithheld {
+			v.Version = 0
+		}
+	}
+	return have
+}
+
+// reply returns the rows that a peer lacks.
+func (f *Follower) reply(theirs []*wire.TableVersion) (out *wire.SyncReply) {
+	out = &wire.SyncReply{Have: f.have()}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range theirs {
-		newer := f.copy.Newer(v.GetTable(), v.GetVersion())
-		if good := f.configRow; v.GetTable() == good.Table && v.GetVersion() < good.Version {
-			// The newest row may be one that can't be read.
-			newer = append([]Row{good}, newer...)
+		rows, whole := f.newer(v.GetTable(), v.GetVersion())
+		if whole {
+			out.Whole = append(out.Whole, v.GetTable())
 		}
-		bound := f.settled(v.GetTable())
-		for _, row := range newer {
-			if row.Version > bound {
-				continue
-			}
-			rows = append(rows, &wire.FollowedRow{
+		for _, row := range rows {
+			out.Rows = append(out.Rows, &wire.FollowedRow{
 				Table: row.Table, Key: row.Key, Value: row.Value, Version: row.Version, Gone: row.Gone,
 			})
 		}
 	}
-	return rows
+	return out
+}
+
+// newer returns the rows of a table that changed after a version, or all present
+// ones where it is not known what else was removed since. The lock is held.
+func (f *Follower) newer(table string, version int64) (rows []Row, whole bool) {
+	bound := f.settled(table)
+	if version < f.copy.Removals(table) {
+		rows = f.copy.Rows(table)
+		if bound < f.copy.Newest(table) || (version > 0 && len(rows) > wholeRows) {
+			return nil, false
+		}
+		whole = true
+	} else {
+		rows = f.copy.Newer(table, version)
+	}
+	if good := f.configRow; table == good.Table && version < good.Version {
+		// The newest row may be one that can't be read.
+		rows = append([]Row{good}, rows...)
+	}
+	return slices.DeleteFunc(rows, func(row Row) bool { return row.Version > bound }), whole
 }
 
-// takeRows takes in the rows of a peer and tells whether any was news.
-func (f *Follower) takeRows(rows []*wire.FollowedRow, have []*wire.TableVersion, from string) (news bool) {
+// takeReply takes in the rows of a peer and tells whether any was news.
+func (f *Follower) takeReply(reply *wire.SyncReply, from string) (news bool) {
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	byTable := map[string][]Row{}
-	for _, r := range rows {
+	for _, r := range reply.GetRows() {
 		byTable[r.GetTable()] = append(byTable[r.GetTable()], Row{
 			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Gone: r.GetGone(),
 		})
 	}
-	known := versions(have)
+	known := versions(reply.GetHave())
 	var changes []Change
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
-		if len(byTable[table]) > 0 {
-			changes = append(changes, f.copy.Apply(table, byTable[table], known[table])...)
+		rows, whole := byTable[table], slices.Contains(reply.GetWhole(), table)
+		switch {
+		case whole:
+			changes = append(changes, f.copy.List(table, rows, known[table])...)
+		case len(rows) > 0:
+			changes = append(changes, f.copy.Apply(table, rows, known[table])...)
+		case known[table] > f.settled(table):
+			f.withheld[table]++
+			continue
 		}
+		f.withheld[table] = 0
 	}
 	f.adopt(changes, from)
 	return len(changes) > 0
