Soak harms connections through a loopback proxy

Change: a proxy before the store for each daemon and before each worker, which delays, resets, silences open connections, swallows one direction or takes no new connection.

--- a/daemon/soak_test.go
+++ b/daemon/soak_test.go
@@ -20,6 +20,8 @@
 	soakCallers = 6
 )
 
+var soakWorkers = []string{"plain-1", "plain-2", "stream-1", "stream-2"}
+
 // soak plays random faults on a deployment and checks what callers and workers
 // see.
 type soak struct {
@@ -52,9 +54,16 @@
 func TestHostedSoak(t *testing.T) {
 	seed, seconds := setting(t, "SOAK_SEED", soakSeed), setting(t, "SOAK_SECONDS", soakSeconds)
 	s := &soak{
-		hosted: newHosted(t, soakDaemons), random: rand.New(rand.NewPCG(uint64(seed), 0)),
+		hosted: newHosted(t, 0), random: rand.New(rand.NewPCG(uint64(seed), 0)),
 		stopped: map[int]bool{}, path: map[string]string{},
 	}
+	for i := range soakDaemons {
+		s.through("store", fmt.Sprintf("store-%d", i))
+	}
+	for _, name := range soakWorkers {
+		s.through(name, name)
+	}
+	s.begin(soakDaemons)
 	s.workers()
 	s.config()
 	s.serving()
@@ -96,9 +105,9 @@
 
 // disturb brings or ends one fault and says which.
 func (s *soak) disturb() string {
-	daemon, worker := s.random.IntN(soakDaemons), []string{"plain-1", "plain-2", "stream-1", "stream-2"}[s.random.IntN(4)]
+	daemon, worker := s.random.IntN(soakDaemons), soakWorkers[s.random.IntN(len(soakWorkers))]
 	process := s.daemons[daemon].Process
-	switch fault := s.random.IntN(9); fault {
+	switch fault := s.random.IntN(12); fault {
 	case 0:
 		_ = process.Kill()
 		s.restart(daemon)
@@ -125,6 +134,10 @@
 		state := []string{"draining", "ready"}[s.random.IntN(2)]
 		s.worker(worker, state)
 		return worker + " " + state
+	case 7, 8:
+		return s.harm(worker)
+	case 9:
+		return s.harm(fmt.Sprintf("store-%d", daemon))
 	default:
 		faults := []string{`{"lose_every":3}`, `{"break_every":2}`, `{"shed_every":2}`, `{"fail_every":3}`, `{"silent":true}`, `{}`, `{}`}
 		chosen := faults[s.random.IntN(len(faults))]
@@ -133,6 +146,34 @@
 	}
 }
 
+// harm harms the connections through one proxy, or ends the harm.
+func (s *soak) harm(way string) string {
+	p := s.ways[way]
+	switch s.random.IntN(8) {
+	case 0:
+		p.set(harm{delay: time.Duration(1+s.random.IntN(60)) * time.Millisecond})
+		return "way to " + way + " delays"
+	case 1:
+		p.set(harm{muteThere: true})
+		return "way to " + way + " is cut towards it"
+	case 2:
+		p.set(harm{muteBack: true})
+		return "way to " + way + " is cut back from it"
+	case 3:
+		p.set(harm{refuse: true})
+		return "way to " + way + " takes no connection"
+	case 4:
+		p.reset(1 + s.random.IntN(3))
+		return "way to " + way + ": connections reset"
+	case 5:
+		p.silence(1 + s.random.IntN(3))
+		return "way to " + way + ": connections fall silent"
+	default:
+		p.set(harm{})
+		return "way to " + way + " is good"
+	}
+}
+
 // restart starts a daemon again once its process has ended.
 func (s *soak) restart(i int) {
 	old := s.daemons[i]
@@ -157,8 +198,11 @@
 	for i := range s.daemons {
 		_ = s.daemons[i].Process.Signal(syscall.SIGCONT)
 	}
+	for _, p := range s.ways {
+		p.set(harm{})
+	}
 	s.faults("store", "/faults", `{}`)
-	for _, name := range []string{"plain-1", "plain-2", "stream-1", "stream-2"} {
+	for _, name := range soakWorkers {
 		s.faults(name, "/standin/faults", `{}`)
 	}
 	s.workers()
@@ -172,7 +216,7 @@
 // check holds what callers got against what ran.
 func (s *soak) check() {
 	s.t.Helper()
-	runs := s.runs("plain-1", "plain-2", "stream-1", "stream-2")
+	runs := s.runs(soakWorkers...)
 	served := 0
 	for _, g := range s.seen {
 		ran, path := runs[g.id], s.path[g.id]
