--- a/daemon/connector/connector.go
+++ b/daemon/connector/connector.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"fmt"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -26,13 +27,15 @@
 	// TLS returns the configuration of a new connection; nil sends in the clear.
 	TLS func() *tls.Config
 
+	bytes *prometheus.CounterVec
 	// pool keeps idle connections for single calls by address.
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// New returns a connector without connections.
-func New(config func() *tls.Config) *Connector {
-	return &Connector{TLS: config, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+// New returns a connector without connections. registerer takes the metrics; nil
+// for none.
+func New(config func() *tls.Config, registerer prometheus.Registerer) *Connector {
+	return &Connector{TLS: config, bytes: newBytes(registerer), pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout.Duration(), Capacity: poolSize, KeyCapacity: poolPerDaemon,
 	})}
 }
@@ -55,7 +58,7 @@
 	return c.pool.Close()
 }
 
-func (c *Connector) open(ctx context.Context, address string) (conn *drpcconn.Conn, err error) {
+func (c *Connector) open(ctx context.Context, address string) (conn drpcpool.Conn, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("connect to daemon %s: %w", address, err)
@@ -67,11 +70,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return drpcconn.New(plain), nil
+		return counted{drpcconn.New(plain), c.bytes}, nil
 	}
 	secure, err := (&tls.Dialer{NetDialer: dialer, Config: c.TLS()}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(secure), nil
+	return counted{drpcconn.New(secure), c.bytes}, nil
 }
--- a/daemon/connector/connector_test.go
+++ b/daemon/connector/connector_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -115,7 +117,7 @@
 			config = func() *tls.Config { return c.config }
 		}
 		for about, try := range map[string]func(context.Context, *Connector, string) error{"call": call, "stream": stream} {
-			connector := New(config)
+			connector := New(config, nil)
 			err := try(t.Context(), connector, address)
 			if served := server.calls.Swap(0); (err == nil) != (c.served > 0) || served != c.served {
 				t.Errorf("%s, %s: %v, %d calls served, want %d", name, about, err, served, c.served)
@@ -124,3 +126,24 @@
 		}
 	}
 }
+
+func TestMessagesAreCounted(t *testing.T) {
+	cert, pool := identity(t)
+	address, _ := serve(t, cert, pool)
+	connector := New(func() *tls.Config {
+		return &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{cert}}
+	}, nil)
+	defer func() { _ = connector.Close() }()
+	conn := connector.Call(t.Context(), address)
+	defer func() { _ = conn.Close() }()
+	packet := &wire.GossipPacket{Sender: &wire.GossipMember{Name: "somebody"}}
+	if _, err := wire.NewDRPCGossipClient(conn).Exchange(t.Context(), packet); err != nil {
+		t.Fatal(err)
+	}
+	const exchange = "/yuccaspread.wire.Gossip/Exchange"
+	sent := testutil.ToFloat64(connector.bytes.WithLabelValues(exchange, "sent"))
+	received := testutil.ToFloat64(connector.bytes.WithLabelValues(exchange, "received"))
+	if want := float64(proto.Size(packet)); sent != want || received != want {
+		t.Errorf("%v bytes sent, %v received, want %v", sent, received, want)
+	}
+}
--- /dev/null
+++ b/daemon/connector/counter.go
@@ -0,0 +1,85 @@
+package connector
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+)
+
+// newBytes counts the messages to and from other daemons by call, without the
+// few bytes that the transport adds to each.
+func newBytes(registerer prometheus.Registerer) (bytes *prometheus.CounterVec) {
+	bytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccaspread_peer_bytes_total", Help: "Bytes of messages to and from other daemons, on connections from here.",
+	}, []string{"call", "direction"})
+	if registerer != nil {
+		registerer.MustRegister(bytes)
+	}
+	return bytes
+}
+
+// counted is a connection whose messages are counted.
+type counted struct {
+	*drpcconn.Conn
+
+	bytes *prometheus.CounterVec
+}
+
+// Invoke implements drpc.Conn.
+func (c counted) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	return c.Conn.Invoke(ctx, rpc, c.encoding(rpc, enc), in, out)
+}
+
+// NewStream implements drpc.Conn. The generated code encodes the messages of a
+// stream itself, hence the stream is wrapped.
+func (c counted) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	stream, err := c.Conn.NewStream(ctx, rpc, enc)
+	if err != nil {
+		return nil, err
+	}
+	return countedStream{Stream: stream, counted: c, rpc: rpc}, nil
+}
+
+func (c counted) encoding(rpc string, enc drpc.Encoding) countedEncoding {
+	return countedEncoding{
+		Encoding: enc, sent: c.bytes.WithLabelValues(rpc, "sent"), received: c.bytes.WithLabelValues(rpc, "received"),
+	}
+}
+
+type countedStream struct {
+	drpc.Stream
+
+	counted counted
+	rpc     string
+}
+
+// MsgSend implements drpc.Stream.
+func (s countedStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
+	return s.Stream.MsgSend(msg, s.counted.encoding(s.rpc, enc))
+}
+
+// MsgRecv implements drpc.Stream.
+func (s countedStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
+	return s.Stream.MsgRecv(msg, s.counted.encoding(s.rpc, enc))
+}
+
+type countedEncoding struct {
+	drpc.Encoding
+
+	sent, received prometheus.Counter
+}
+
+// Marshal implements drpc.Encoding.
+func (e countedEncoding) Marshal(msg drpc.Message) (raw []byte, err error) {
+	raw, err = e.Encoding.Marshal(msg)
+	e.sent.Add(float64(len(raw)))
+	return raw, err
+}
+
+// Unmarshal implements drpc.Encoding.
+func (e countedEncoding) Unmarshal(raw []byte, msg drpc.Message) error {
+	e.received.Add(float64(len(raw)))
+	return e.Encoding.Unmarshal(raw, msg)
+}
--- a/daemon/duty_peer.go
+++ b/daemon/duty_peer.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"syscall"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
@@ -39,15 +41,16 @@
 }
 
 // newConnector uses TLS towards other daemons where the settings ask for it.
-func newConnector(l fx.Lifecycle, s settings) (c *connector.Connector, err error) {
-	c = connector.New(nil)
+func newConnector(l fx.Lifecycle, s settings, registerer prometheus.Registerer) (c *connector.Connector, err error) {
+	var config func() *tls.Config
 	if s.PeerTLS.Enabled() {
 		keys, err := reloader.New(s.PeerTLS)
 		if err != nil {
 			return nil, err
 		}
-		c = connector.New(keys.Client)
+		config = keys.Client
 	}
+	c = connector.New(config, registerer)
 	l.Append(fx.Hook{OnStop: func(context.Context) error { return c.Close() }})
 	return c, nil
 }
--- a/daemon/gossiper/gossiper_test.go
+++ b/daemon/gossiper/gossiper_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	g := &gossiper.Gossiper{
 		Own:   gossiper.Member{Name: name, Region: "r", PeerListen: address, Incarnation: 1},
-		Clock: clock.System{}, Connector: connector.New(nil), Seeds: func() []string { return seeds },
+		Clock: clock.System{}, Connector: connector.New(nil, nil), Seeds: func() []string { return seeds },
 		// Long enough that a busy machine is not taken for a silent connection.
 		Timeout: 3 * clock.Second,
 	}
