Rows of the register travel once: one fetch at a time, ten readers, near peers

Cause: at 300 daemons and 3,000 upstreams a start or a mass restart brought the whole list to each daemon from many peers at once, since all that knew more were asked at the same time; the reply takes 0.6 s and more on a link of 10 Mbit/s, beyond the 0.5 s that a comparison had, and was asked for again. An eighth of all daemons read each change from the store besides, and two peers in three were of other regions. Change: a daemon fetches from one peer at a time, another one only if an answer takes longer than 0.5 s; news are told without rows; a reply holds at most 500 rows that are not whole and goes on after them; a whole table has 1.5 s; a daemon that has listed a table says so to its peers; ten daemons read; most meetings stay in the region. Tests: TestDaemonFarBehindCatchesUpInParts (failed first: a listing without rows was told as nothing known), TestOnePeerIsFetchedFromAtATime, TestMostMeetingsStayInTheRegion.

--- a/daemon/follower/copy.go
+++ b/daemon/follower/copy.go
@@ -176,9 +176,10 @@
 	return rows
 }
 
-// Newest returns the highest version at which a row of a table changed, 0
-// without any: all that Newer tells of it is known.
+// Newest returns the version up to which all that peers tell of a table is known:
+// that of its newest change, or of a later listing.
 func (c *Copy) Newest(table string) (version int64) {
+	version = c.removals[table]
 	for at, row := range c.rows {
 		if at.table == table {
 			version = max(version, row.Version)
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -25,8 +26,16 @@
 }
 
 const (
-	// syncTimeout bounds one comparison with a peer.
-	syncTimeout = 500 * clock.Millisecond
+	// syncTimeout bounds one comparison with a peer, and wholeTimeout one that
+	// brings a whole table: 1.4 MB at full size take 1.1 s over 10 Mbit/s.
+	syncTimeout  = 500 * clock.Millisecond
+	wholeTimeout = 1500 * clock.Millisecond
+	// mostRows bounds the rows of one reply that is not whole, some 130 KB, so that
+	// it passes within syncTimeout on such a link.
+	mostRows = 500
+	// farEvery is the number of meetings of which one goes anywhere and not only
+	// to the own region.
+	farEvery = 3
 	// spreadPeers is the number of peers that hear of news at once.
 	spreadPeers = 3
 	// wholeRows is the size of a table that is told whole to each peer that may
@@ -46,20 +55,22 @@
 	Connector *connector.Connector
 
 	mu sync.Mutex
-	// busy names the peers with which a comparison is under way.
-	busy map[string]bool
+	// fetching tells that rows of a peer are on their way, and next is the peer
+	// that told of more meanwhile, empty for none.
+	fetching bool
+	next     string
+	// began is when the last fetch began.
+	began clock.Millis
 	// heard is when a peer answered last.
 	heard clock.Millis
 }
 
-// Readers of the register: in a large fleet, reading by all would cost a call
-// for each daemon and change.
+// Readers of the register: in a large fleet, reading by all would cost each
+// daemon the changes of all upstreams.
 const (
-	// leastReaders is the number of daemons that read at least: with a third of
-	// them cut off from the register, some still read.
-	leastReaders = 10
-	// readerShare is the part of the daemons that read in a large fleet.
-	readerShare = 0.125
+	// readers is the number of daemons that read: with a third of all daemons cut
+	// off from the register, all of them are once in 60,000 times.
+	readers = 10
 	// alone is the time without an answer of any peer after which a daemon reads
 	// for itself.
 	alone = 1500 * clock.Millisecond
@@ -75,11 +86,10 @@
 			names = append(names, m.Name)
 		}
 	}
-	count := max(leastReaders, int(readerShare*float64(len(names))))
 	x.mu.Lock()
 	heard := x.heard
 	x.mu.Unlock()
-	if len(names) <= count || x.Follower.Clock.Now()-heard > alone {
+	if len(names) <= readers || x.Follower.Clock.Now()-heard > alone {
 		return true
 	}
 	self := x.View.Self().Name
@@ -89,72 +99,133 @@
 			higher++
 		}
 	}
-	return higher < count
+	return higher < readers
 }
 
 // Meet implements Peers.
-func (x *Exchanger) Meet(ctx context.Context) { x.some(ctx, 1) }
+func (x *Exchanger) Meet(ctx context.Context) {
+	for _, m := range x.some(1) {
+		go x.fetch(ctx, m.PeerListen)
+	}
+}
 
 // Spread implements Peers.
-func (x *Exchanger) Spread(ctx context.Context) { x.some(ctx, spreadPeers) }
+func (x *Exchanger) Spread(ctx context.Context) {
+	for _, m := range x.some(spreadPeers) {
+		go x.tell(ctx, m.PeerListen)
+	}
+}
 
-func (x *Exchanger) some(ctx context.Context, count int) {
-	self := x.View.Self().Name
-	var others []gossiper.Member
+// some returns random other daemons, more of the own region than of others, for
+// rows cost most between regions.
+func (x *Exchanger) some(count int) (chosen []gossiper.Member) {
+	self := x.View.Self()
+	var near, all []gossiper.Member
 	for _, m := range x.View.Members() {
-		if m.Name != self && m.State != gossiper.Dead {
-			others = append(others, m)
+		if m.Name == self.Name || m.State == gossiper.Dead {
+			continue
 		}
+		all = append(all, m)
+		if m.Region == self.Region {
+			near = append(near, m)
+		}
+	}
+	if count == 1 && rand.IntN(farEvery) > 0 && len(near) > 0 {
+		return []gossiper.Member{near[rand.IntN(len(near))]}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, m := range others[:min(count, len(others))] {
-		go x.sync(ctx, m.PeerListen)
+	for i := range count {
+		from := near
+		if i == count-1 || len(near) == 0 {
+			from = all
+		}
+		if len(from) > 0 {
+			chosen = append(chosen, from[rand.IntN(len(from))])
+		}
+	}
+	return chosen
+}
+
+// tell tells the peer at an address what is known here, and fetches what the peer
+// has beyond it.
+func (x *Exchanger) tell(ctx context.Context, address string) {
+	reply, err := x.call(ctx, address, syncTimeout, &wire.SyncRequest{Have: x.Follower.have(), OnlyTells: true})
+	if err == nil && x.Follower.lacks(reply.GetHave()) {
+		x.fetch(ctx, address)
+	}
+}
+
+// fetch takes in what the peer at an address has beyond what is known here. Others
+// wait for it, or the same rows would come from all peers at once, but no longer
+// than an answer without a whole table takes.
+func (x *Exchanger) fetch(ctx context.Context, address string) {
+	for ; address != ""; address = x.end() {
+		if !x.begin(address) {
+			return
+		}
+		have, timeout := x.Follower.asks(), syncTimeout
+		if slices.ContainsFunc(have, func(v *wire.TableVersion) bool { return v.GetVersion() == 0 }) {
+			timeout = wholeTimeout
+		}
+		reply, err := x.call(ctx, address, timeout, &wire.SyncRequest{Have: have})
+		if err != nil {
+			continue
+		}
+		if x.Follower.takeReply(reply, address) {
+			x.Spread(context.WithoutCancel(ctx))
+		}
+		if len(reply.GetRows()) >= mostRows && len(reply.GetWhole()) == 0 {
+			x.goOn(address)
+		}
 	}
 }
 
-// sync compares with the peer at an address and takes in what it has.
-func (x *Exchanger) sync(ctx context.Context, address string) {
-	if !x.begin(address) {
-		return
+// goOn fetches again from a peer that has more.
+func (x *Exchanger) goOn(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.next == "" {
+		x.next = address
 	}
-	defer x.end(address)
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
+}
+
+func (x *Exchanger) call(ctx context.Context, address string, timeout clock.Millis, in *wire.SyncRequest) (reply *wire.SyncReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	conn := x.Connector.Call(ctx, address)
 	defer func() { _ = conn.Close() }()
 	self := x.View.Self()
-	reply, err := wire.NewDRPCFollowClient(conn).Sync(ctx, &wire.SyncRequest{
-		Daemon: self.Name, PeerListen: self.PeerListen, Have: x.Follower.asks(),
-	})
+	in.Daemon, in.PeerListen = self.Name, self.PeerListen
+	reply, err = wire.NewDRPCFollowClient(conn).Sync(ctx, in)
 	if err != nil {
 		klog.V(1).InfoS("peer not asked for news", "peer", address, "error", err.Error())
-		return
+		return nil, err
 	}
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.heard = x.Follower.Clock.Now()
-	x.mu.Unlock()
-	if x.Follower.takeReply(reply, address) {
-		x.Spread(context.WithoutCancel(ctx))
-	}
+	return reply, nil
 }
 
+// begin tells whether a fetch from an address may start now; else it is the next.
 func (x *Exchanger) begin(address string) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.busy == nil {
-		x.busy = map[string]bool{}
-	}
-	if x.busy[address] {
+	now := x.Follower.Clock.Now()
+	if x.fetching && now-x.began < syncTimeout {
+		x.next = address
 		return false
 	}
-	x.busy[address] = true
+	x.fetching, x.began = true, now
 	return true
 }
 
-func (x *Exchanger) end(address string) {
+// end ends a fetch and returns where the next one goes, empty for nowhere.
+func (x *Exchanger) end() (address string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	delete(x.busy, address)
+	address, x.next = x.next, ""
+	x.fetching = false
+	return address
 }
 
 // Register adds the service for other daemons to mux.
@@ -168,7 +239,10 @@
 func (s *server) Sync(ctx context.Context, in *wire.SyncRequest) (out *wire.SyncReply, err error) {
 	x := (*Exchanger)(s)
 	if x.Follower.lacks(in.GetHave()) && in.GetPeerListen() != "" {
-		go x.sync(context.WithoutCancel(ctx), in.GetPeerListen())
+		go x.fetch(context.WithoutCancel(ctx), in.GetPeerListen())
+	}
+	if in.GetOnlyTells() {
+		return &wire.SyncReply{Have: x.Follower.have()}, nil
 	}
 	return x.Follower.reply(in.GetHave()), nil
 }
@@ -222,13 +296,24 @@
 
 // reply returns the rows that a peer lacks.
 func (f *Follower) reply(theirs []*wire.TableVersion) (out *wire.SyncReply) {
-	out = &wire.SyncReply{Have: f.have()}
+	have := f.have()
+	out = &wire.SyncReply{Have: have}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range theirs {
 		rows, whole := f.newer(v.GetTable(), v.GetVersion())
-		if whole {
+		switch {
+		case whole:
 			out.Whole = append(out.Whole, v.GetTable())
+		case len(rows) > mostRows:
+			// The oldest changes come first; the next reply goes on after them.
+			slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+			rows = rows[:mostRows]
+			for _, h := range have {
+				if h.GetTable() == v.GetTable() {
+					h.Version = rows[mostRows-1].Version
+				}
+			}
 		}
 		for _, row := range rows {
 			out.Rows = append(out.Rows, &wire.FollowedRow{
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/gossiper"
 )
 
 // newListener returns a follower of table t that does not run.
@@ -123,3 +126,79 @@
 		t.Errorf("known %+v", rows)
 	}
 }
+
+func TestDaemonFarBehindCatchesUpInParts(t *testing.T) {
+	teller, listener := newListener(), newListener()
+	teller.copy.List("t", nil, 1)
+	listener.copy.List("t", nil, 1)
+	const count = 2*mostRows + 7
+	for i := range int64(count) {
+		teller.copy.Continue("t", []Row{says('x', fmt.Sprint(i), i+2)}, i+2)
+	}
+	for part, want := range []int{mostRows, mostRows, 7, 0} {
+		reply := teller.reply(listener.asks())
+		listener.takeReply(reply, "peer")
+		if len(reply.GetRows()) != want {
+			t.Fatalf("part %d has %d rows", part, len(reply.GetRows()))
+		}
+	}
+	if known := len(listener.copy.Rows("t")); known != count {
+		t.Errorf("%d rows are known", known)
+	}
+}
+
+// hands is a clock that a test moves.
+type hands struct{ now clock.Millis }
+
+func (h *hands) Now() clock.Millis { return h.now }
+
+func TestOnePeerIsFetchedFromAtATime(t *testing.T) {
+	at := &hands{now: 1}
+	x := &Exchanger{Follower: &Follower{Clock: at}}
+	if !x.begin("a") || x.begin("b") || x.begin("c") {
+		t.Error("two fetches run at once")
+	}
+	if next := x.end(); next != "c" || !x.begin(next) || x.end() != "" {
+		t.Errorf("after the fetch comes %q", next)
+	}
+	// One that hangs holds nobody up for long.
+	x.begin("a")
+	at.now += syncTimeout
+	if !x.begin("b") {
+		t.Error("a fetch that hangs keeps others from starting")
+	}
+}
+
+type fakeView []gossiper.Member
+
+func (v fakeView) Self() gossiper.Member      { return v[0] }
+func (v fakeView) Members() []gossiper.Member { return v }
+
+func TestMostMeetingsStayInTheRegion(t *testing.T) {
+	view := fakeView{{Name: "self", Region: "a"}}
+	for i := range 20 {
+		view = append(view, gossiper.Member{Name: fmt.Sprint(i), Region: []string{"a", "b", "c", "d"}[i%4]})
+	}
+	x := &Exchanger{View: view}
+	const meetings = 600
+	for _, count := range []int{1, spreadPeers} {
+		near := 0
+		for range meetings {
+			for _, m := range x.some(count) {
+				if m.Name == "self" {
+					t.Fatal("meets itself")
+				}
+				if m.Region == "a" {
+					near++
+				}
+			}
+		}
+		if share := float64(near) / float64(meetings*count); share < 0.6 || share > 0.95 {
+			t.Errorf("%d at once: %.2f in the own region", count, share)
+		}
+	}
+	alone := &Exchanger{View: fakeView{{Name: "self", Region: "a"}, {Name: "far", Region: "b"}}}
+	if len(alone.some(1)) != 1 || len((&Exchanger{View: view[:1]}).some(spreadPeers)) != 0 {
+		t.Error("a daemon alone in its region meets nobody, or one alone meets itself")
+	}
+}
