Asks leave a scheduler that fell silent within a second

Cause: when a VM loses its power no connection to it ends. Change: while asks wait for a scheduler that has been quiet for 0.3 s it is probed, and after 1 s of silence its asks look elsewhere and its link counts as failed, so that the next ones use the local share until it answers. Nothing is judged after a pause of the own process. Test: TestAnAskLeavesASchedulerThatFellSilent, failed first.

--- a/daemon/granter/failure_test.go
+++ b/daemon/granter/failure_test.go
@@ -196,6 +196,38 @@
 	eventually(t, "all slots are free", func() bool { r, w := sched.counts(); return r == 0 && w == 0 })
 }
 
+// TestAnAskLeavesASchedulerThatFellSilent lets a VM lose its power: no connection
+// ends, and new ones are not answered.
+func TestAnAskLeavesASchedulerThatFellSilent(t *testing.T) {
+	c := newCluster(t, 4)
+	c.start("d1", region)
+	c.start("d2", region)
+	sched := c.scheduler()
+	ingress := c.other(sched)
+	silent := make(chan struct{})
+	ingress.remote.Dial = func(ctx context.Context, to gossiper.Member) (reserver.Link, error) {
+		select {
+		case <-silent:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		default:
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.PeerListen)
+		if err != nil {
+			return nil, err
+		}
+		return reserver.OnConn(ctx, drpcconn.New(&muffled{Conn: conn, silent: silent}))
+	}
+	mustReserve(t, ingress).End(reserver.Usage{})
+	close(silent)
+	// The caller leaves long before a stream without asks counts as silent.
+	slot, err := ingress.remote.Reserve(t.Context(), request(4*clock.Second), nil)
+	if err != nil {
+		t.Fatalf("no slot of the local share: %v", err)
+	}
+	slot.End(reserver.Usage{})
+}
+
 func TestASlotIsConfirmedOnceTheRequestIsSent(t *testing.T) {
 	c := newCluster(t, 3)
 	n := c.start("d1", region)
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"k8s.io/klog/v2"
+
 	"yuccaspread/common/clock"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/gossiper"
@@ -16,12 +18,23 @@
 	now := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	asked := map[*link]bool{}
 	for _, e := range r.entries {
 		r.move(e, assignment)
 		e.tellConfirmed(now)
+		asked[e.link] = asked[e.link] || e.stage == waiting
 	}
+	paused := now-r.followed > longestFollow
+	r.followed = now
 	for _, l := range r.links {
-		if l.up && r.isUseless(l, now) {
+		switch {
+		case !l.up:
+		case l.fellSilent(now, asked[l], paused):
+			klog.InfoS("scheduler is silent", "scheduler", l.peer.Name, "heard_ms_ago", now-clock.Millis(l.heard.Load()))
+			// Until it answers again asks need not wait for it.
+			r.failed[l.peer.Name] = true
+			l.cancel()
+		case r.isUseless(l, now):
 			l.cancel()
 		}
 	}
@@ -50,6 +63,24 @@
 	}
 }
 
+// fellSilent probes a scheduler for which asks wait, and tells whether it has said
+// nothing for too long since they do. After a pause of this process nothing is
+// known. The lock is held.
+func (l *link) fellSilent(now clock.Millis, asked, paused bool) bool {
+	if !asked || paused {
+		l.askedSince = 0
+		return false
+	}
+	if l.askedSince == 0 {
+		l.askedSince = now
+	}
+	silence := now - max(l.askedSince, clock.Millis(l.heard.Load()))
+	if silence >= probePause {
+		l.post(heartbeat())
+	}
+	return silence > askSilence
+}
+
 // isUseless tells whether a link is silent, or idle for long.
 func (r *Remote) isUseless(l *link, now clock.Millis) bool {
 	if now-clock.Millis(l.heard.Load()) > silenceLimit {
--- a/daemon/reserver/link.go
+++ b/daemon/reserver/link.go
@@ -18,6 +18,11 @@
 	heartbeatInterval = 2 * clock.Second
 	// silenceLimit is how long a stream may carry nothing at all.
 	silenceLimit = 6 * clock.Second
+	// probePause is the silence after which a scheduler is probed while asks wait
+	// for it, and askSilence the one after which they look for a slot elsewhere:
+	// half of the 2 s for which callers wait at least.
+	probePause = 300 * clock.Millisecond
+	askSilence = 1 * clock.Second
 	// idleLimit is how long a stream is kept that nobody uses.
 	idleLimit = 1 * clock.Minute
 	// redialPause is the time between two tries to reach a scheduler.
@@ -58,8 +63,10 @@
 	// scheduler and at the last one to it that was no heartbeat.
 	heard atomic.Int64
 	used  atomic.Int64
-	// up is guarded by the Remote's lock.
-	up bool
+	// up and askedSince, when asks began to wait on it, 0 for none, are guarded by
+	// the Remote's lock.
+	up         bool
+	askedSince clock.Millis
 }
 
 // linkTo returns the link to a scheduler and makes one where there is none.
@@ -145,7 +152,7 @@
 			return
 		case up = <-l.out.Items():
 		case <-ticker.C:
-			up = &wire.ReserveUp{Message: &wire.ReserveUp_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
+			up = heartbeat()
 		}
 		if err := raw.Send(l.ctx, up); err != nil {
 			return
@@ -153,6 +160,10 @@
 	}
 }
 
+func heartbeat() *wire.ReserveUp {
+	return &wire.ReserveUp{Message: &wire.ReserveUp_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
+}
+
 func (l *link) receive(raw Link) {
 	defer l.cancel()
 	for {
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -25,6 +25,10 @@
 // followInterval is how often the entries follow the members.
 const followInterval = 200 * clock.Millisecond
 
+// longestFollow is the time between two rounds that shows that this process was
+// stopped for a while.
+const longestFollow = 3 * followInterval
+
 // Remote reserves slots at the schedulers of the shards. Its exported fields
 // are set before use. A slot belongs to this daemon and outlives the
 // scheduler that granted it.
@@ -46,6 +50,8 @@
 
 	mu         sync.Mutex
 	lastNumber uint64
+	// followed is when the entries last followed the members.
+	followed clock.Millis
 	// entries holds all that wait and all slots in use, by number.
 	entries map[uint64]*entry
 	// held counts the slots in use that schedulers granted, by upstream; no
