Patience counts from what the caller heard last, for the local share too

Cause 1: the patience of a caller counted from the arrival, also for a stream that has to go on at another upstream after more than the patience: its ask was shed on arrival and the stream cut. Change: a request knows when the last part of its answer went out; the wait for a slot ends 50 ms before the caller leaves, with a time to come again elsewhere.

--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -61,6 +61,8 @@
 	// Patience is the time after which the caller leaves if nothing has come; 0
 	// is until the deadline.
 	Patience clock.Millis
+	// Heard is when the last part of the answer went to the caller, 0 before any.
+	Heard clock.Millis
 	// LastEvent is the event after which the caller resumes a stream.
 	LastEvent string
 
@@ -74,6 +76,15 @@
 	Body []byte
 }
 
+// Leaves returns when the caller leaves if it hears nothing until then, 0 where
+// that is at the deadline.
+func (r *Request) Leaves() clock.Millis {
+	if r.Patience <= 0 {
+		return 0
+	}
+	return max(r.Arrived, r.Heard) + r.Patience
+}
+
 // Repeatable tells whether the request may run again, or go on elsewhere,
 // after it may have run.
 func (r *Request) Repeatable() bool { return r.Idempotent || (r.Stream && r.Resumable) }
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -149,6 +149,7 @@
 	if _, err = r.w.Write(out); err != nil {
 		return err
 	}
+	r.passed = r.Clock.Now()
 	return http.NewResponseController(r.w).Flush()
 }
 
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	excluded []string
 	// lastEvent is the id of the last event that went to the caller.
 	lastEvent string
+	// passed is when the last part of the answer went to the caller, 0 before any.
+	passed clock.Millis
 	// failure is an upstream's failure that goes out if nothing better comes.
 	failure *answer
 	// last names the upstream of the last attempt.
@@ -82,6 +84,7 @@
 // drive makes attempts until one is whole or none may follow.
 func (r *run) drive(ctx context.Context) (err error) {
 	for {
+		r.req.Heard = r.passed
 		slot, err := r.Reserver.Reserve(ctx, r.req, r.excluded)
 		if err != nil {
 			return err
--- a/daemon/granter/failure_test.go
+++ b/daemon/granter/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
+	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 )
@@ -228,6 +230,29 @@
 	slot.End(reserver.Usage{})
 }
 
+func TestNobodyWaitsForASlotOfTheLocalShareInVain(t *testing.T) {
+	c := newCluster(t, 2)
+	c.start("d1", region)
+	c.start("d2", region)
+	ingress := c.other(c.scheduler())
+	ingress.remote.Dial = func(context.Context, gossiper.Member) (reserver.Link, error) {
+		return nil, net.ErrClosed
+	}
+	// One of two slots is the ingress's share.
+	slot := mustReserve(t, ingress)
+	defer slot.End(reserver.Usage{})
+	const patience = 1 * clock.Second
+	waits := request(30 * clock.Second)
+	waits.Arrived, waits.Patience = clock.System{}.Now(), patience
+	ctx, cancel := context.WithTimeout(t.Context(), 5*patience.Duration())
+	defer cancel()
+	_, err := ingress.remote.Reserve(ctx, waits, nil)
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) || refusal.RetryAfter <= 0 {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestASlotIsConfirmedOnceTheRequestIsSent(t *testing.T) {
 	c := newCluster(t, 3)
 	n := c.start("d1", region)
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -303,12 +303,12 @@
 		MaxTokens: int32(req.MaxTokens), Idempotent: req.Idempotent, PrefixHashes: hashes,
 		Fingerprint: req.Fingerprint, Excluded: e.excluded,
 	}
-	waited := e.remote.Clock.Now() - req.Arrived
-	if req.Objective > 0 {
-		ask.HasObjective, ask.ObjectiveMs = true, int64(req.Objective-waited)
+	now := e.remote.Clock.Now()
+	if req.Objective > 0 && req.Heard == 0 {
+		ask.HasObjective, ask.ObjectiveMs = true, int64(req.Objective-(now-req.Arrived))
 	}
-	if req.Patience > 0 {
-		ask.PatienceMs = int64(max(req.Patience-waited, 1))
+	if leaves := req.Leaves(); leaves > 0 {
+		ask.PatienceMs = int64(max(leaves-now, 1))
 	}
 	return ask
 }
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -25,6 +25,14 @@
 // followInterval is how often the entries follow the members.
 const followInterval = 200 * clock.Millisecond
 
+// refusalWay is the time before a caller leaves at which the wait for a slot ends
+// with a refusal. Schedulers refuse earlier and can tell when to come back.
+const refusalWay = 50 * clock.Millisecond
+
+// elsewhereRetry is when a caller may come again, to another daemon, that waited
+// here for a slot of the local share.
+const elsewhereRetry = 100 * clock.Millisecond
+
 // longestFollow is the time between two rounds that shows that this process was
 // stopped for a while.
 const longestFollow = 3 * followInterval
@@ -110,7 +118,11 @@
 	ctx, span := otel.Tracer("yuccaspread/daemon/reserver").Start(ctx, "reservation")
 	defer span.End()
 	began := r.Clock.Now()
-	within, cancel := context.WithTimeout(ctx, (req.Deadline - began).Duration())
+	until := req.Deadline
+	if leaves := req.Leaves(); leaves > 0 {
+		until = min(until, leaves-refusalWay)
+	}
+	within, cancel := context.WithTimeout(ctx, (until - began).Duration())
 	defer cancel()
 	e, err := r.search(within, req, excluded)
 	if err != nil {
@@ -133,7 +145,9 @@
 	case errors.As(err, &refusal):
 		return refusal
 	case within.Err() != nil:
-		return errDeadline()
+		refusal = errDeadline()
+		refusal.RetryAfter = elsewhereRetry
+		return refusal
 	default:
 		return err
 	}
