Follower: different peers are told, one way to take rows in

Reading the diff: of three peers that hear of news two could be the same, and Continue had a copy of Apply beside it. A third of the peers is of another region now, as before on average.

--- a/daemon/follower/copy.go
+++ b/daemon/follower/copy.go
@@ -90,7 +90,13 @@
 // Apply takes in changed rows that a peer told, up to a version. It returns the
 // rows that changed.
 func (c *Copy) Apply(table string, rows []Row, version int64) (changed []Change) {
-	return c.apply(table, rows, version)
+	for _, row := range rows {
+		changed = c.take(row, changed)
+	}
+	c.complete[table] = max(c.complete[table], version)
+	c.prune()
+	sortChanges(changed)
+	return changed
 }
 
 // Continue takes in what the register changed since the version up to which its
@@ -106,7 +112,7 @@
 		}
 		told = append(told, row)
 	}
-	return c.apply(table, told, version)
+	return c.Apply(table, told, version)
 }
 
 // renewalsPerNews is the number of renewals of a row of which one, on average, is
@@ -120,16 +126,6 @@
 	return xxhash.Sum64String(row.Key+strconv.FormatInt(row.Version, 10))%renewalsPerNews == 0
 }
 
-func (c *Copy) apply(table string, rows []Row, version int64) (changed []Change) {
-	for _, row := range rows {
-		changed = c.take(row, changed)
-	}
-	c.complete[table] = max(c.complete[table], version)
-	c.prune()
-	sortChanges(changed)
-	return changed
-}
-
 func (c *Copy) take(row Row, changed []Change) []Change {
 	at := place{row.Table, row.Key}
 	known, found := c.rows[at]
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -33,8 +33,7 @@
 	// mostRows bounds the rows of one reply that is not whole, some 130 KB, so that
 	// it passes within syncTimeout on such a link.
 	mostRows = 500
-	// farEvery is the number of meetings of which one goes anywhere and not only
-	// to the own region.
+	// farEvery is the number of chosen peers of which one is of another region.
 	farEvery = 3
 	// spreadPeers is the number of peers that hear of news at once.
 	spreadPeers = 3
@@ -116,31 +115,31 @@
 	}
 }
 
-// some returns random other daemons, more of the own region than of others, for
+// some returns different random daemons, more of the own region than of others, for
 // rows cost most between regions.
 func (x *Exchanger) some(count int) (chosen []gossiper.Member) {
 	self := x.View.Self()
-	var near, all []gossiper.Member
+	var near, far []gossiper.Member
 	for _, m := range x.View.Members() {
-		if m.Name == self.Name || m.State == gossiper.Dead {
-			continue
-		}
-		all = append(all, m)
-		if m.Region == self.Region {
+		switch {
+		case m.Name == self.Name || m.State == gossiper.Dead:
+		case m.Region == self.Region:
 			near = append(near, m)
+		default:
+			far = append(far, m)
 		}
 	}
-	if count == 1 && rand.IntN(farEvery) > 0 && len(near) > 0 {
-		return []gossiper.Member{near[rand.IntN(len(near))]}
-	}
-	for i := range count {
-		from := near
-		if i == count-1 || len(near) == 0 {
-			from = all
+	for range count {
+		from := &near
+		if len(near) == 0 || (len(far) > 0 && rand.IntN(farEvery) == 0) {
+			from = &far
 		}
-		if len(from) > 0 {
-			chosen = append(chosen, from[rand.IntN(len(from))])
+		if len(*from) == 0 {
+			return chosen
 		}
+		at := rand.IntN(len(*from))
+		chosen = append(chosen, (*from)[at])
+		*from = slices.Delete(*from, at, at+1)
 	}
 	return chosen
 }
--- a/replayer/runner/request.go
+++ b/replayer/runner/request.go
@@ -31,7 +31,8 @@
 	wasted     float64
 	firstToken float64
 	done       bool
-	// returned tells that the caller has come back after a refusal or a silence.
+	// returned tells that the caller has come back after a refusal or a silence, or
+	// is about to, and cameBack when.
 	returned bool
 	cameBack float64
 }
