--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -186,10 +186,10 @@
 	metrics.Handle("/metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{}))
 	runDuty(n.Lifecycle, n.Drainer.Run)
 	h := n.Settings.Hosted
-	listenHTTP(n.Lifecycle, h.MetricsListen, metrics)
-	listenHTTP(n.Lifecycle, h.ReadyListen, answers.Readiness())
-	listenHTTP(n.Lifecycle, h.DirectoryListen, answers.Directory())
-	listenHTTP(n.Lifecycle, n.Settings.Listen, boundBodies(bodyTimeout, front))
+	n.Lifecycle.Append(listenHTTP(h.ReadyListen, answers.Readiness()))
+	n.Lifecycle.Append(listenHTTP(h.DirectoryListen, answers.Directory()))
+	n.Lifecycle.Append(listenHTTP(n.Settings.Listen, boundBodies(bodyTimeout, front)))
+	n.Lifecycle.Append(optional("metrics", listenHTTP(h.MetricsListen, metrics)))
 	n.Lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, part(h.StopMS, finishPart).Duration())
 		defer cancel()
@@ -222,16 +222,28 @@
 // another one.
 const elsewhereRetry = 50 * clock.Millisecond
 
+// optional lets the daemon serve although a start has failed.
+func optional(what string, hook fx.Hook) fx.Hook {
+	start := hook.OnStart
+	hook.OnStart = func(ctx context.Context) error {
+		if err := start(ctx); err != nil {
+			klog.ErrorS(err, "not served", "what", what)
+		}
+		return nil
+	}
+	return hook
+}
+
 // listenHTTP serves an address from the start to the stop; empty serves none.
-func listenHTTP(l fx.Lifecycle, address string, handler http.Handler) {
+func listenHTTP(address string, handler http.Handler) fx.Hook {
 	if address == "" {
-		return
+		return fx.Hook{OnStart: func(context.Context) error { return nil }}
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: throttledLog(),
 	}
-	l.Append(fx.Hook{
+	return fx.Hook{
 		OnStart: func(ctx context.Context) (err error) {
 			var socket net.Listener
 			if socket, err = listenOn(ctx, address, reloader.Files{}); err != nil {
@@ -242,5 +254,5 @@
 			return nil
 		},
 		OnStop: func(context.Context) error { return server.Close() },
-	})
+	}
 }
--- a/daemon/hosted_test.go
+++ b/daemon/hosted_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -164,6 +165,24 @@
 	}
 }
 
+func TestHostedServesWithoutAPortForMetrics(t *testing.T) {
+	h := newHosted(t, 0)
+	h.workers()
+	h.config()
+	h.begin(1)
+	h.serving()
+	// Another program takes the port while the daemon restarts.
+	_ = h.daemons[0].Process.Kill()
+	h.await("the end of the process", h.daemons[0].gone)
+	socket, err := net.Listen("tcp", "127.0.0.1:"+h.ports["metrics-0"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	h.start(0)
+	h.serving()
+}
+
 func TestHostedReloadKeepsServing(t *testing.T) {
 	h := newHosted(t, 1)
 	h.workers()
