Prover waits until a process that it stops stands still

Cause: the signal returns before the threads stand still. The test took the table to be down. Change: the harness waits until every thread of the process is stopped; in the same trial 0 of 300 answered then. The checks are as they were.

--- a/daemon/prover/cluster_test.go
+++ b/daemon/prover/cluster_test.go
@@ -54,6 +54,33 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// freeze stops the process until SIGCONT. It returns once every thread stands
+// still: the signal alone lets them go on for some milliseconds.
+func (p *process) freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	for end := time.Now().Add(patience); !p.frozen(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("%s does not stand still", p.name)
+		}
+	}
+}
+
+func (p *process) frozen() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		// The state follows the name, which is in brackets.
+		if _, state, _ := strings.Cut(string(stat), ") "); err != nil || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process at once, as a VM that fails does.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/daemon/prover/pairs_test.go
+++ b/daemon/prover/pairs_test.go
@@ -35,7 +35,7 @@
 		c.restart(2)
 	},
 	"pause": func(c *cluster) {
-		c.daemons[1].signal(syscall.SIGSTOP)
+		c.daemons[1].freeze()
 		time.Sleep(faultTime)
 		c.daemons[1].signal(syscall.SIGCONT)
 	},
--- a/daemon/prover/stamps_test.go
+++ b/daemon/prover/stamps_test.go
@@ -103,7 +103,7 @@
 
 func TestTableDownForADeadlineAndBack(t *testing.T) {
 	c := newCluster(t, shape{serviceSlots: 4, serviceDelay: 10 * time.Millisecond})
-	c.platform.signal(syscall.SIGSTOP)
+	c.platform.freeze()
 	wantUnknown(t, c.stamp(0, "out", "a", 3*time.Second))
 	wantRuns(t, c, "out", 0)
 	long := c.stampLater(1, "long", "b", 25*time.Second)
@@ -121,7 +121,7 @@
 	c.await("the run", func() bool { return c.runs()["running"] == 1 })
 	waiting := c.stampLater(0, "waiting", "b", 3*time.Second)
 	time.Sleep(300 * time.Millisecond)
-	c.daemons[0].signal(syscall.SIGSTOP)
+	c.daemons[0].freeze()
 	// The holder is silent towards its peers and towards the caller.
 	wantUnknown(t, c.stamp(1, "running", "a", 10*time.Second))
 	c.await("the repeat", func() bool { return c.stamp(1, "waiting", "b", 0).whole() })
