Test harnesses keep what programs write to standard output

What the daemons wrote is lost, since logs go to standard output now and the harness kept standard error only.

--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -179,7 +179,7 @@
 	_ = file.Close()
 	var log bytes.Buffer
 	cmd := exec.Command(filepath.Join(d.dir, program), "--settings", file.Name())
-	cmd.Stderr = &log
+	cmd.Stdout, cmd.Stderr = &log, &log
 	if err = cmd.Start(); err != nil {
 		d.t.Fatal(err)
 	}
--- a/daemon/prover/cluster_test.go
+++ b/daemon/prover/cluster_test.go
@@ -165,7 +165,7 @@
 		c.t.Fatal(err)
 	}
 	p := &process{t: c.t, name: name, cmd: exec.Command(filepath.Join(binaries, program), "--settings", file), done: make(chan struct{})}
-	p.cmd.Stderr = log
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
