Limits of an organisation hold under partitions

Cause: a daemon that could not reach the home of an organisation lent a part in N while the home lent all; one that had lost sight of the others took itself for the home and lent all too. Change: a fifth of the part while the home does not answer; a side that sees no more than half of the daemons known for the last minute lends a fifth of its part; a home that nobody asks looks whether it reaches others. Ruled out: reserving the parts of daemons that are out of sight, which would lower the limit when VMs die. While a home that is down is not yet taken for dead, its organisations have a fifth of their rates.

--- a/daemon/limiter/homes.go
+++ b/daemon/limiter/homes.go
@@ -28,8 +28,20 @@
 	gone map[string]departed
 	// regions are the regions in which a daemon was ever seen.
 	regions map[string]bool
+	// known holds the daemons that were seen lately and did not leave by plan.
+	known map[string]sighting
 }
 
+// sighting is where and when a daemon was last seen.
+type sighting struct {
+	region string
+	at     clock.Millis
+}
+
+// knownTime is how long a daemon that is not seen any more counts when a side of a
+// partition decides whether it is the smaller one.
+const knownTime = 1 * clock.Minute
+
 // home returns the home daemon of an organisation.
 func (l *Limiter) home(organisation string) gossiper.Member {
 	members := l.View.Members()
@@ -59,6 +71,16 @@
 	defer h.mu.Unlock()
 	for _, m := range members {
 		h.regions[m.Region] = true
+		if sharder.Carries(m) {
+			h.known[m.Name] = sighting{m.Region, now}
+		} else {
+			delete(h.known, m.Name)
+		}
+	}
+	for name, s := range h.known {
+		if now-s.at > knownTime {
+			delete(h.known, name)
+		}
 	}
 	for _, m := range h.last {
 		if !slices.ContainsFunc(members, func(n gossiper.Member) bool { return n.Name == m.Name && sharder.Carries(n) }) {
@@ -107,10 +129,12 @@
 
 // share returns the part of the limits that is lent on this side: all of it,
 // unless regions that once had daemons are out of sight. The other side of a
-// cut between regions lends the rest.
-func (h *homes) share(view gossiper.View) float64 {
+// cut between regions lends the rest. A side that sees no more than half of the
+// daemons known in its regions lends little, for the larger one lends all.
+func (h *homes) share(view gossiper.View) (share float64) {
 	seen := map[string]bool{}
-	for _, m := range view.Members() {
+	members := view.Members()
+	for _, m := range members {
 		seen[m.Region] = true
 	}
 	h.mu.Lock()
@@ -118,7 +142,26 @@
 	for region := range seen {
 		h.regions[region] = true
 	}
-	return float64(len(seen)) / float64(max(len(h.regions), 1))
+	share = float64(len(seen)) / float64(max(len(h.regions), 1))
+	known := 0
+	for _, s := range h.known {
+		if seen[s.region] {
+			known++
+		}
+	}
+	if carriers := countCarriers(members); known > 1 && 2*carriers <= known {
+		share *= carefulShare * float64(carriers) / float64(known)
+	}
+	return share
+}
+
+func countCarriers(members []gossiper.Member) (count int) {
+	for _, m := range members {
+		if sharder.Carries(m) {
+			count++
+		}
+	}
+	return count
 }
 
 // place returns this daemon's index among all and their number.
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -51,6 +51,10 @@
 	asking map[string]chan struct{}
 	// unreachable tells until when a home is left alone.
 	unreachable map[string]clock.Millis
+	// asked is when another daemon last asked here, and apart tells that hardly
+	// any could be reached when none did.
+	asked clock.Millis
+	apart bool
 }
 
 func (l *Limiter) prepare() {
@@ -58,7 +62,7 @@
 		l.metrics = newMetrics(l.Registerer)
 		l.asking = map[string]chan struct{}{}
 		l.unreachable = map[string]clock.Millis{}
-		l.homes = homes{started: l.Clock.Now(), regions: map[string]bool{}, gone: map[string]departed{}}
+		l.homes = homes{started: l.Clock.Now(), regions: map[string]bool{}, gone: map[string]departed{}, known: map[string]sighting{}}
 	})
 }
 
@@ -180,13 +184,13 @@
 	return l.ownPart(now, terms, want)
 }
 
-// ownPart lends one part in as many as there are daemons.
+// ownPart lends of one part in as many as there are daemons.
 func (l *Limiter) ownPart(now clock.Millis, terms Terms, want Want) Loan {
 	l.metrics.alone.Inc()
 	index, count := l.homes.place(l.View)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.alone.Lend(now, l.View.Self().Name, terms.Part(index, count), want, false)
+	return l.alone.Lend(now, l.View.Self().Name, terms.Part(index, count).Careful(), want, false)
 }
 
 // borrow asks a home, which may be this daemon.
@@ -225,10 +229,21 @@
 	config := l.Source.Current()
 	share := l.homes.share(l.View)
 	members := l.View.Members()
+	self := l.View.Self().Name
+	l.mu.Lock()
+	if daemon != self {
+		l.asked, l.apart = now, false
+	}
+	apart := l.apart
+	l.mu.Unlock()
 	for _, want := range wants {
 		organisation, _ := inventory.Lookup(config.Organisations, want.Organisation)
 		terms := TermsOf(organisation).Scaled(share)
-		fresh := l.homes.isNew(now, want.Organisation, l.View.Self().Name, members)
+		if apart {
+			index, count := l.homes.place(l.View)
+			terms = terms.Part(index, count).Careful()
+		}
+		fresh := l.homes.isNew(now, want.Organisation, self, members)
 		if fresh {
 			terms.Concurrency = min(terms.Concurrency, terms.Part(0, max(len(members), 1)).Concurrency)
 		}
@@ -271,7 +286,11 @@
 		}
 	}
 	l.metrics.organisations.Set(float64(l.borrower.Len() + l.lender.Len()))
+	doubtful := l.lender.Len() > 0 && now-l.asked > unaskedTime
 	l.mu.Unlock()
+	if doubtful {
+		l.look(ctx)
+	}
 	byHome := map[string][]Want{}
 	homes := map[string]gossiper.Member{}
 	for _, want := range due {
--- a/daemon/limiter/terms.go
+++ b/daemon/limiter/terms.go
@@ -69,6 +69,19 @@
 	return t
 }
 
+// carefulShare is the part of its own part that a daemon lends which may be cut off
+// from a home that goes on to lend all: half of the daemons then add a tenth.
+const carefulShare = 0.2
+
+// Careful returns what a daemon may use of its part where others may lend it too.
+// Parts of the concurrency are kept, for they may be no more than one.
+func (t Terms) Careful() Terms {
+	concurrency := t.Concurrency
+	t = t.Scaled(carefulShare)
+	t.Concurrency = concurrency
+	return t
+}
+
 // Scaled returns a share in (0, 1] of the limits.
 func (t Terms) Scaled(share float64) Terms {
 	if share >= 1 {
