One sleep that a context ends; the tests of the users' forms move to platform/

Change: clock.Sleep with a test, used by the nine; one in standin/generator stays, whose spans are below a millisecond. The harness, the tests, the proxy and the soak of the hosted path are platform/prover now; checks and seeds as they were.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 SEED ?= 1
 MINUTES ?= 1
 soak-hosted:
-	SOAK_SEED=$(SEED) SOAK_SECONDS=$$(($(MINUTES) * 60)) go test -count=1 -timeout=0 -run=TestHostedSoak -v ./daemon
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$$(($(MINUTES) * 60)) go test -count=1 -timeout=0 -run=TestHostedSoak -v ./platform/prover
 
 # Full search of every model, and of every mutation, which must be caught.
 model:
--- a/common/platform/guard.go
+++ b/common/platform/guard.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
@@ -93,7 +92,7 @@
 	s.guard.pay(retryShare)
 	for try := 1; ; try++ {
 		value, err = attempt(ctx, s, op, call)
-		if err == nil || try == maxTries || !repeatable(err) || !s.guard.spend() || !pause(ctx, try) {
+		if err == nil || try == maxTries || !repeatable(err) || !s.guard.spend() || !clock.Sleep(ctx, minPause+rand.N(clock.Millis(try)*maxPause)) {
 			return value, err
 		}
 	}
@@ -168,17 +167,6 @@
 	}
 }
 
-// pause waits before the next try and reports false when ctx ends first.
-func pause(ctx context.Context, try int) bool {
-	span := minPause + rand.N(clock.Millis(try)*maxPause)
-	select {
-	case <-time.After(span.Duration()):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (g *Guard) pay(share float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/claimer/sweeper.go
+++ b/daemon/claimer/sweeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
@@ -37,7 +36,7 @@
 func (s *Sweeper) Run(ctx context.Context) {
 	for {
 		retention := s.Source.Current().Limits.WithDefaults().KeyRetentionMS
-		if !idle(ctx, retention/sweepsPerRetention) {
+		if !clock.Sleep(ctx, retention/sweepsPerRetention) {
 			return
 		}
 		for _, organisation := range s.Source.Current().Organisations {
@@ -51,18 +50,6 @@
 	}
 }
 
-// idle waits and reports false when ctx ended.
-func idle(ctx context.Context, span clock.Millis) bool {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // mine tells whether this daemon sweeps an organisation: a region is chosen
 // for it, and one daemon there. Two that think so for a moment do no harm.
 func (s *Sweeper) mine(organisation string) bool {
@@ -98,7 +85,7 @@
 			return nil
 		}
 		from = rows[len(rows)-1].Key + "\x00"
-		if !idle(ctx, sweepPause) {
+		if !clock.Sleep(ctx, sweepPause) {
 			return ctx.Err()
 		}
 	}
--- a/daemon/configurer/committer.go
+++ b/daemon/configurer/committer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -247,23 +246,12 @@
 		if !doubt {
 			return err
 		}
-		if !pause(ctx) {
+		if !clock.Sleep(ctx, minSettlePause+rand.N(maxSettlePause-minSettlePause)) {
 			return &platform.Error{Op: "configuration.commit", Certainty: platform.Unknown, Err: err}
 		}
 	}
 }
 
-// pause waits a short random time and reports false when ctx ends first.
-func pause(ctx context.Context) bool {
-	span := minSettlePause + rand.N(maxSettlePause-minSettlePause)
-	select {
-	case <-time.After(span.Duration()):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Configurer) writeOnce(ctx context.Context, delta inventory.Delta) (err error) {
 	head := c.knownHead()
 	if head.Revision < delta.Base {
--- a/daemon/dispatcher/dispatcher.go
+++ b/daemon/dispatcher/dispatcher.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -153,13 +152,3 @@
 func otherBody() error {
 	return refuser.NewUnknown(http.StatusUnprocessableEntity, "key reused", "the key came with another body before")
 }
-
-// sleep waits for a span or the end of ctx.
-func sleep(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/dispatcher/repeat.go
+++ b/daemon/dispatcher/repeat.go
@@ -30,7 +30,7 @@
 		case limited.Err() != nil:
 			return false, unreadable()
 		}
-		sleep(limited, readPause)
+		clock.Sleep(limited, readPause)
 	}
 }
 
--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	if errors.Is(err, errWait) || errors.Is(err, errLate) {
-		sleep(ctx, waitPause)
+		clock.Sleep(ctx, waitPause)
 		return true
 	}
 	r.excluded = append(r.excluded, slot.Upstream().Name)
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -156,7 +156,7 @@
 // tick meets a peer from time to time.
 func (f *Follower) tick(ctx context.Context) {
 	for {
-		wait(ctx, meetInterval)
+		clock.Sleep(ctx, meetInterval)
 		if ctx.Err() != nil {
 			return
 		}
@@ -173,7 +173,7 @@
 	pause, span := minPause, changesWait
 	for ctx.Err() == nil {
 		if !f.reads() {
-			wait(ctx, idlePause)
+			clock.Sleep(ctx, idlePause)
 			position = f.known(table)
 			continue
 		}
@@ -182,7 +182,7 @@
 		case err == nil:
 			position, pause, span = next, minPause, changesWait
 			if some {
-				wait(ctx, gatherPause)
+				clock.Sleep(ctx, gatherPause)
 			}
 		case errors.Is(err, ErrHistory) && position != unlisted:
 			klog.InfoS("register has dropped its history", "table", table, "after", position)
@@ -190,7 +190,7 @@
 		case ctx.Err() == nil:
 			f.failed(table, err)
 			span = probeWait
-			wait(ctx, pause/2+rand.N(pause))
+			clock.Sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, maxPause)
 		}
 	}
@@ -395,12 +395,3 @@
 		klog.InfoS("upstream gone", "upstream", name)
 	}
 }
-
-func wait(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel"
@@ -110,7 +109,7 @@
 		if !slices.Contains(r.excluded, r.last) {
 			r.excluded = append(r.excluded, r.last)
 		}
-		pause(ctx, repeatPause)
+		clock.Sleep(ctx, repeatPause)
 	}
 }
 
@@ -257,12 +256,3 @@
 		"prompt_tokens", r.req.PromptTokens, "revision", r.Source.Current().Revision)
 	r.metrics.request(strconv.Itoa(r.req.Tier), outcome, now-r.req.Arrived)
 }
-
-func pause(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/relayer/resume.go
+++ b/daemon/relayer/resume.go
@@ -140,7 +140,7 @@
 // reopen asks the upstream for the rest of the stream by a new connection.
 func (p *Pull) reopen(ctx context.Context) (res *http.Response, err error) {
 	for ; p.resume < maxResumes; p.resume++ {
-		pause(ctx, resumePause*clock.Millis(p.resume))
+		clock.Sleep(ctx, resumePause*clock.Millis(p.resume))
 		opening, cancel := context.WithCancel(ctx)
 		timer := time.AfterFunc(p.Silence.Duration(), cancel)
 		res, err = p.ask(opening)
@@ -248,15 +248,6 @@
 	}
 }
 
-func pause(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // cancelStream frees the upstream from a stream that nobody wants any more.
 func (p *Pull) cancelStream(ctx context.Context) {
 	if !p.resumable() {
--- a/standin/answerer/faults.go
+++ b/standin/answerer/faults.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"yuccaspread/common/clock"
 )
@@ -57,7 +56,7 @@
 
 // answer writes the body with the faults of the call.
 func (f Faults) answer(ctx context.Context, w http.ResponseWriter, tag string, body []byte) {
-	wait(ctx, f.LateMS)
+	clock.Sleep(ctx, f.LateMS)
 	if f.Silent {
 		<-ctx.Done()
 		return
@@ -90,12 +89,3 @@
 	_, _ = conn.Write(append([]byte("HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n\r\n"), body[:len(body)/2]...))
 	_ = conn.Close()
 }
-
-func wait(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -193,7 +193,7 @@
 
 // answer runs the request.
 func (v *Worker) answer(w http.ResponseWriter, r *http.Request, faults Faults, number int) {
-	if !sleep(r, v.Work) {
+	if !clock.Sleep(r.Context(), v.Work) {
 		return
 	}
 	if every(number, faults.LoseEvery) {
@@ -237,7 +237,7 @@
 		}
 		_, _ = w.Write([]byte(event))
 		_ = flusher.Flush()
-		if !sleep(r, v.Gap) {
+		if !clock.Sleep(r.Context(), v.Gap) {
 			return
 		}
 	}
@@ -247,12 +247,3 @@
 func Event(number int) string {
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", number, strings.Repeat("x", number%7+1))
 }
-
-func sleep(r *http.Request, span clock.Millis) bool {
-	select {
-	case <-time.After(span.Duration()):
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
