--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -88,6 +88,7 @@
 		Register: fetcher.New(store.Host), Tables: parser.Tables(), Clock: n.Clock, Registerer: n.Registerer,
 		Decoder: &parser.Parser{
 			RegionOf: hosted.Regions, RetryShare: hosted.RetryShare, AddressLifetime: hosted.AddressLifetimeMS,
+			CrossRegionBytes: hosted.CrossRegionBytes,
 		},
 	}
 	peers := &follower.Exchanger{Follower: f, View: n.Gossiper, Connector: n.Connector}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -61,6 +61,9 @@
 	// request, and RetryExtra the number that it may make besides.
 	RetryShare float64 `toml:"retry_share" validate:"gte=0,lte=1"`
 	RetryExtra float64 `toml:"retry_extra" validate:"gte=0"`
+	// CrossRegionBytes is the volume between regions that each tier may use in an
+	// hour, in bytes; 0 keeps requests in their region.
+	CrossRegionBytes int64 `toml:"cross_region_bytes_per_hour" validate:"gte=0"`
 	// Regions maps failure domains to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 }
--- a/replayer/runner/request.go
+++ b/replayer/runner/request.go
@@ -190,14 +190,19 @@
 	if q.done {
 		return
 	}
+	r.abandon(q)
+	if !q.done {
+		r.miss(q)
+	}
+}
+
+// abandon ends what runs or waits of a request whose caller is gone.
+func (r *run) abandon(q *request) {
 	if q.engine != nil {
 		r.cancel(q)
 	} else {
 		r.apply(q.shard, q.shard.policy.Leave(r.millis(), q.number))
 	}
-	if !q.done {
-		r.miss(q)
-	}
 }
 
 // patience returns when the caller of an attempt that begins now leaves.
@@ -214,11 +219,7 @@
 	if q.done || q.firstToken > 0 || (q.returned && r.now < q.cameBack+float64(span)) {
 		return
 	}
-	if q.engine != nil {
-		r.cancel(q)
-	} else {
-		r.apply(q.shard, q.shard.policy.Leave(r.millis(), q.number))
-	}
+	r.abandon(q)
 	if !q.done {
 		r.comeBack(q, 0)
 	}
