Log: the line on dropped lines is written before the writer ends

Cause: Bounded.run could see that it was closed before it had written the line on dropped lines, and returned without it; a line queued after its last look at the queue was lost without a count. Change: the writer ends only when, with no Write in progress, the queue is empty and every dropped line is reported.

--- a/common/logger/bounded.go
+++ b/common/logger/bounded.go
@@ -32,6 +32,8 @@
 	// closing is closed by Close; the goroutine then writes the remaining lines
 	// and ends.
 	closing chan struct{}
+	// ending orders the last look at the queue after every Write that used it.
+	ending sync.RWMutex
 	// done is closed when the goroutine has ended.
 	done      chan struct{}
 	closeOnce sync.Once
@@ -47,15 +49,26 @@
 // Write implements io.Writer; line is one whole log line. Once the goroutine has
 // ended after Close, it writes directly to the underlying writer.
 func (b *Bounded) Write(line []byte) (n int, err error) {
+	if b.enqueue(line) {
+		return len(line), nil
+	}
+	return b.out.Write(line)
+}
+
+// enqueue queues a copy of the line, or counts it as dropped. It returns false
+// once the goroutine has ended.
+func (b *Bounded) enqueue(line []byte) bool {
+	b.ending.RLock()
+	defer b.ending.RUnlock()
 	select {
 	case <-b.done:
-		return b.out.Write(line)
+		return false
 	default:
 	}
 	if !b.lines.TryPush(append([]byte(nil), line...)) {
 		b.dropped.Add(1)
 	}
-	return len(line), nil
+	return true
 }
 
 // Dropped returns the number of lines dropped so far.
@@ -72,27 +85,45 @@
 }
 
 func (b *Bounded) run() {
-	defer close(b.done)
 	var reported int64
 	for {
 		select {
 		case line := <-b.lines.Items():
 			b.writeBatch(line)
 		case <-b.closing:
-			for {
-				select {
-				case line := <-b.lines.Items():
-					b.writeBatch(line)
-				default:
-					return
-				}
+			if b.finish(reported) {
+				return
+			}
+			select {
+			case line := <-b.lines.Items():
+				b.writeBatch(line)
+			default:
 			}
 		}
-		if dropped := b.Dropped(); dropped > reported {
-			_, _ = fmt.Fprintf(b.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped-reported)
-			reported = dropped
-		}
+		reported = b.reportDropped(reported)
+	}
+}
+
+// finish marks the goroutine as ended if no line is queued and all dropped lines are
+// reported; later lines are then written directly.
+func (b *Bounded) finish(reported int64) bool {
+	b.ending.Lock()
+	defer b.ending.Unlock()
+	if b.lines.Len() > 0 || b.Dropped() > reported {
+		return false
+	}
+	close(b.done)
+	return true
+}
+
+// reportDropped logs how many lines were dropped beyond those that were reported
+// before, and returns the number of reported ones.
+func (b *Bounded) reportDropped(reported int64) int64 {
+	dropped := b.Dropped()
+	if dropped > reported {
+		_, _ = fmt.Fprintf(b.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped-reported)
 	}
+	return dropped
 }
 
 // writeBatch writes batch and the lines that wait in the queue in a single write.
