A scheduler that fails ends neither the daemon nor its requests

Change: ranks beyond the lanes of the queue share the last ones. A panic in a shard is logged with its whole trace, its daemons are sent away as after a move to another scheduler, and the shard starts anew with what they announce. Ruled out by reading: maps that travel in messages by value (weights, shares, routes) are replaced, never written, after they were sent. Conclusion: the cause of that exit is still open; its next one is logged whole.

--- a/daemon/granter/failure_test.go
+++ b/daemon/granter/failure_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -359,3 +361,55 @@
 		t.Error("a stream without a hello was served")
 	}
 }
+
+// failingDecider is a fifoDecider that panics on the first tick after it is armed.
+type failingDecider struct {
+	*fifoDecider
+	armed *atomic.Bool
+}
+
+func (d *failingDecider) Update(now clock.Millis, m scheduler.Message) []scheduler.Effect {
+	if _, isTick := m.(scheduler.Tick); isTick && d.armed.CompareAndSwap(true, false) {
+		panic("broken invariant")
+	}
+	return d.fifoDecider.Update(now, m)
+}
+
+// TestFailingShardEndsNeitherDaemonNorRequests guards against a panic in one shard that
+// ends the daemon, and against slots and waiting asks that are lost with it.
+func TestFailingShardEndsNeitherDaemonNorRequests(t *testing.T) {
+	c := newCluster(t, 2)
+	var armed atomic.Bool
+	var mu sync.Mutex
+	var newest *fifoDecider
+	c.newDecider = func() granter.Decider {
+		mu.Lock()
+		defer mu.Unlock()
+		newest = newFIFODecider()
+		return &failingDecider{newest, &armed}
+	}
+	counts := func() (running, waiting int) {
+		mu.Lock()
+		defer mu.Unlock()
+		if newest == nil {
+			return 0, 0
+		}
+		return newest.counts()
+	}
+	c.start("d1", region)
+	c.start("d2", region)
+	var ingresses []*node
+	for _, n := range c.nodes {
+		ingresses = append(ingresses, n)
+	}
+	first, second := mustReserve(t, ingresses[0]), mustReserve(t, ingresses[1])
+	third := reserveAsync(t, ingresses[0])
+	waitFor(t, "the third request waits", func() bool { r, w := counts(); return r == 2 && w == 1 })
+	armed.Store(true)
+	waitFor(t, "the shard fails", func() bool { return !armed.Load() })
+	waitFor(t, "the new scheduler knows both grants and the ask", func() bool { r, w := counts(); return r == 2 && w == 1 })
+	first.End(reserver.Usage{})
+	(<-third).End(reserver.Usage{})
+	second.End(reserver.Usage{})
+	waitFor(t, "all slots are free", func() bool { r, w := counts(); return r == 0 && w == 0 })
+}
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
@@ -193,10 +196,31 @@
 	}
 	r.latestConfig.Store(g.shardConfigs.configFor(shard, config))
 	if !found {
-		g.runnerGroup.Go(func() { r.run(g.ctx) })
+		g.runnerGroup.Go(func() { g.runShard(r) })
 	}
 }
 
+// runShard runs a shard until it stops. A panic ends the shard only, not the daemon:
+// its daemons are sent away as after a move to another scheduler, and the next refresh
+// starts it anew with what they announce.
+func (g *Granter) runShard(r *runner) {
+	defer func() {
+		failure := recover()
+		if failure == nil {
+			return
+		}
+		klog.ErrorS(nil, "scheduler of a shard failed; it starts anew", "shard", r.id, "asks", len(r.asks), "failure", fmt.Sprint(failure), "stack", string(debug.Stack()))
+		g.metrics.failures.Inc()
+		g.mu.Lock()
+		if g.runners[r.id] == r {
+			delete(g.runners, r.id)
+		}
+		g.mu.Unlock()
+		r.refuseRemaining(g.ctx)
+	}()
+	r.run(g.ctx)
+}
+
 // runner returns the runner of a shard, nil where this daemon does not schedule
 // it. Where this daemon has just become its scheduler, the runner is started
 // here, without waiting for the next refresh.
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -22,6 +22,7 @@
 	refusals   *prometheus.CounterVec
 	running    *prometheus.GaugeVec
 	lowestTier *prometheus.GaugeVec
+	failures   prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -39,9 +40,12 @@
 		lowestTier: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "yuccaspread_scheduler_lowest_tier", Help: "Rank of the lowest tier that the shard admits.",
 		}, []string{labelShard}),
+		failures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_scheduler_failures_total", Help: "Schedulers of shards that failed and were started anew.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier)
+		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures)
 	}
 	return m
 }
--- a/daemon/queuer/queuer.go
+++ b/daemon/queuer/queuer.go
@@ -6,8 +6,8 @@
 
 import "yuccaspread/common/clock"
 
-// maxTiers bounds the number of tiers; entries of higher ranks go to the last tier.
-const maxTiers = 64
+// MaxTiers bounds the number of tiers; entries of higher ranks go to the last tier.
+const MaxTiers = 64
 
 // Entry is one waiting request. The exported fields do not change while the
 // entry is in a queue.
@@ -87,7 +87,7 @@
 // Push adds e. If the queue exceeds its capacity, Push removes and returns the
 // entry with the latest deadline in the lowest tier, which may be e.
 func (q *Queue[T]) Push(e *Entry[T]) (evicted *Entry[T]) {
-	e.Tier = min(max(e.Tier, 0), maxTiers-1)
+	e.Tier = min(max(e.Tier, 0), MaxTiers-1)
 	e.sequence = q.nextSequence
 	q.nextSequence++
 	e.organisationIndex, e.deadlineIndex, e.startIndex = -1, -1, -1
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -37,7 +37,7 @@
 
 // newAsk returns an ask that arrives now, with its output length estimated.
 func (s *State) newAsk(m Ask) *ask {
-	m.Tier = max(m.Tier, 0)
+	m.Tier = min(max(m.Tier, 0), maxTier)
 	a := &ask{Ask: m, arrivedAt: s.now}
 	a.expectedOutput = s.predictOutput(m, quantileOrDefault(s.OutputQuantile, defaultOutputQuantile))
 	a.conservativeOutput = max(s.predictOutput(m, quantileOrDefault(s.ConservativeQuantile, defaultConservativeQuantile)), a.expectedOutput)
--- a/daemon/scheduler/lanes.go
+++ b/daemon/scheduler/lanes.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "yuccaspread/common/clock"
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/queuer"
+)
 
 // The queue is divided into priority lanes, the most important first. An ask
 // whose objective can still be met waits in the lane of its tier. One that will
@@ -11,6 +14,9 @@
 	// lateLaneOffset is the number of lanes that a late ask is demoted by: behind
 	// the next tier, before the one after that.
 	lateLaneOffset = 3
+	// maxTier is the last tier with lanes of its own; asks of higher ranks count as
+	// of this one. The late lane of the tier is the last one of the queue.
+	maxTier = (queuer.MaxTiers - 1 - lateLaneOffset) / lanesPerTier
 	// refusalTransit is the time that a refusal takes to reach its caller: a tick
 	// of the granter, 50 ms, and the network hops between the daemons. Only a
 	// caller that still waits learns when to retry.
