A fleet that starts at once knows all of itself within 2 s

Joining daemons got the table of a seed as it was at that moment, and the rest by 8 members a packet, a packet a second, each member 27 times. Change: daemons compare tables by a hash of each member, and send what the other one lacks; daemons that started less than 5 s ago do so four times a second, others when digests differ and 2 s have passed. What a comparison brings is not spread further by rumour. Settled tells whether a daemon has found the fleet. Replaces the exchange of whole tables, which is still answered.

--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -26,9 +26,22 @@
 	// rejoinInterval is the time between two attempts to reach a seed or a dead
 	// member.
 	rejoinInterval = 5 * clock.Second
-	// fullExchangeInterval is the least time between two exchanges of the full
-	// member table that this daemon starts because digests differ.
-	fullExchangeInterval = 30 * clock.Second
+	// joinTime is how long a daemon that has started probes each joinTickInterval
+	// and compares tables at each probe: a fleet that starts at once has to find
+	// itself before it schedules.
+	joinTime         = 5 * clock.Second
+	joinTickInterval = 250 * clock.Millisecond
+	// settleAge is the age from which on a daemon assumes that it has found the
+	// others; in fleets of 350 that start at once all know each other by then.
+	settleAge = 2 * clock.Second
+	// agreementTime and agreeingPackets are how long a table has to stay unchanged,
+	// and how many packets of others have to confirm it meanwhile, before a younger
+	// daemon assumes the same.
+	agreementTime   = 300 * clock.Millisecond
+	agreeingPackets = 2
+	// compareInterval is the least time between two comparisons of the member table
+	// that this daemon starts after joinTime because digests differ.
+	compareInterval = 2 * clock.Second
 	// reportInterval is the least time between two published changes of load
 	// and revision.
 	reportInterval = 2 * clock.Second
@@ -51,6 +64,9 @@
 	// maxPacketUpdates bounds the queued updates in a packet that does not carry
 	// the full member table.
 	maxPacketUpdates = 8
+	// maxComparedMembers bounds the members that answer a comparison, about 90 bytes
+	// each: the seeds answer a whole fleet that starts at once over one link.
+	maxComparedMembers = 48
 	// retransmitMultiplier scales how often an update is sent; the other factor
 	// is logarithmic in the number of peers.
 	retransmitMultiplier = 3
@@ -83,11 +99,18 @@
 	// self once they are published.
 	localReport Report
 
-	started          clock.Millis
-	lastTick         clock.Millis
-	lastRejoin       clock.Millis
-	lastFullExchange clock.Millis
-	lastReport       clock.Millis
+	started     clock.Millis
+	lastTick    clock.Millis
+	lastRejoin  clock.Millis
+	lastCompare clock.Millis
+	lastReport  clock.Millis
+	// settled is set once the table agreed with that of a settled daemon, or was
+	// confirmed by others for agreementTime.
+	settled bool
+	// changedAt is when the table last changed, and agreements the number of packets
+	// since then whose sender had the same table.
+	changedAt  clock.Millis
+	agreements int
 }
 
 // peerState is what is known of another daemon.
@@ -109,7 +132,7 @@
 	self.LastHeard = now
 	return &Core{
 		self: self, random: rand.New(rand.NewPCG(seed, 0)), peers: map[string]*peerState{}, updates: updateQueue{},
-		started: now, lastTick: now, lastRejoin: now - rejoinInterval, lastFullExchange: now,
+		started: now, lastTick: now, lastRejoin: now - rejoinInterval, lastCompare: now,
 	}
 }
 
@@ -117,6 +140,9 @@
 // caller has to carry out.
 func (c *Core) Handle(now clock.Millis, m Message) []Effect {
 	effects := c.dispatch(now, m)
+	if len(c.changedMembers) > 0 {
+		c.changedAt, c.agreements = now, 0
+	}
 	for _, changed := range c.changedMembers {
 		effects = append(effects, MemberChanged{changed})
 	}
@@ -190,16 +216,24 @@
 	return last, found
 }
 
-// buildPacket returns a packet for the recipient: with the full member table
-// if fullTable is set, else with queued updates.
-func (c *Core) buildPacket(recipient string, fullTable bool) Packet {
-	p := Packet{Sender: c.self, FullTable: fullTable, Digest: c.digest()}
-	if fullTable {
-		for _, name := range c.peerNames() {
-			p.Updates = append(p.Updates, c.peers[name].Member)
-		}
-		return p
+// TickAfter returns the time from now until the next Tick is due.
+func (c *Core) TickAfter(now clock.Millis) clock.Millis {
+	if c.joining(now) {
+		return joinTickInterval
 	}
+	return TickInterval
+}
+
+func (c *Core) joining(now clock.Millis) bool { return now-c.started < joinTime }
+
+// Settled reports whether this daemon has found the daemons of the fleet, as far as it
+// can tell: its table agreed with that of a settled one, others confirmed it for
+// agreementTime, or it has looked for settleAge.
+func (c *Core) Settled(now clock.Millis) bool { return c.settled || now-c.started >= settleAge }
+
+// buildPacket returns a packet for the recipient with queued updates.
+func (c *Core) buildPacket(now clock.Millis, recipient string) Packet {
+	p := c.newPacket(now)
 	if peer, found := c.peers[recipient]; found && peer.State != Alive && peer.State != Leaving {
 		// The recipient has to learn first that it is suspected or dead, since it
 		// alone can refute that.
@@ -213,6 +247,21 @@
 	return p
 }
 
+// newPacket returns a packet without updates.
+func (c *Core) newPacket(now clock.Millis) Packet {
+	return Packet{Sender: c.self, Digest: c.digest(), Settled: c.Settled(now)}
+}
+
+// buildFullTable returns a packet with all peers.
+func (c *Core) buildFullTable(now clock.Millis) Packet {
+	p := c.newPacket(now)
+	p.FullTable = true
+	for _, name := range c.peerNames() {
+		p.Updates = append(p.Updates, c.peers[name].Member)
+	}
+	return p
+}
+
 // retransmitLimit returns how many packets carry an update before it is
 // dropped from the queue.
 func (c *Core) retransmitLimit() int {
--- a/daemon/gossiper/encoder.go
+++ b/daemon/gossiper/encoder.go
@@ -4,7 +4,7 @@
 
 // encode returns the packet as a wire message.
 func encode(p Packet) *wire.GossipPacket {
-	out := &wire.GossipPacket{Sender: encodeMember(p.Sender), Whole: p.FullTable, Digest: p.Digest}
+	out := &wire.GossipPacket{Sender: encodeMember(p.Sender), Whole: p.FullTable, Digest: p.Digest, Known: p.Known, Settled: p.Settled, Compared: p.Compared}
 	for _, m := range p.Updates {
 		out.Updates = append(out.Updates, encodeMember(m))
 	}
@@ -21,7 +21,7 @@
 }
 
 func decode(p *wire.GossipPacket) Packet {
-	out := Packet{Sender: decodeMember(p.GetSender()), FullTable: p.GetWhole(), Digest: p.GetDigest()}
+	out := Packet{Sender: decodeMember(p.GetSender()), FullTable: p.GetWhole(), Digest: p.GetDigest(), Known: p.GetKnown(), Settled: p.GetSettled(), Compared: p.GetCompared()}
 	for _, m := range p.GetUpdates() {
 		out.Updates = append(out.Updates, decodeMember(m))
 	}
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -24,9 +24,6 @@
 	defaultExchangeTimeout = 400 * clock.Millisecond
 	// indirectProbeTimeout bounds a probe through other members.
 	indirectProbeTimeout = 1500 * clock.Millisecond
-	// settleTime is how long a daemon that has just started looks for others
-	// before it assumes that there are none.
-	settleTime = 2 * clock.Second
 	// stopTimeout bounds the announcement of the stop to other members.
 	stopTimeout = 1 * clock.Second
 )
@@ -66,13 +63,10 @@
 // the other members.
 func (g *Gossiper) Run(ctx context.Context) {
 	g.initialise()
-	ticker := time.NewTicker(TickInterval.Duration())
-	defer ticker.Stop()
-	g.tick(ctx)
 	for {
+		g.tick(ctx)
 		select {
-		case <-ticker.C:
-			g.tick(ctx)
+		case <-time.After(g.tickAfter().Duration()):
 		case <-ctx.Done():
 			g.announceStop(context.WithoutCancel(ctx))
 			return
@@ -120,13 +114,28 @@
 }
 
 // DiscoveryDone reports whether discovery at the start has ended: another daemon was
-// contacted, or settleTime has passed.
+// contacted, or settleAge has passed.
 func (g *Gossiper) DiscoveryDone() bool {
 	g.initialise()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, found := g.core.LastContact()
-	return found || g.Clock.Now()-g.core.started >= settleTime
+	return found || g.Clock.Now()-g.core.started >= settleAge
+}
+
+// Settled reports whether this daemon has found the daemons of the fleet, as far as it
+// can tell. Until then its view may lack most of them.
+func (g *Gossiper) Settled() bool {
+	g.initialise()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Settled(g.Clock.Now())
+}
+
+func (g *Gossiper) tickAfter() clock.Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.TickAfter(g.Clock.Now())
 }
 
 // Leave announces to the other members that this daemon is about to stop.
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -9,35 +9,60 @@
 // handlePacket merges the packet of another daemon and returns the reply.
 func (c *Core) handlePacket(now clock.Millis, p Packet) Packet {
 	c.mergePacket(now, p)
-	return c.buildPacket(p.Sender.Name, p.FullTable)
+	switch {
+	case p.FullTable:
+		return c.buildFullTable(now)
+	case len(p.Known) > 0:
+		return c.buildComparison(now, p.Known)
+	default:
+		return c.buildPacket(now, p.Sender.Name)
+	}
 }
 
-// handleReply merges a reply. If the member tables still differ, it returns an
-// exchange of full tables, at most one per fullExchangeInterval.
+// handleReply merges a reply. To a comparison it answers with the members that the
+// peer lacks; after any other reply it starts one if the tables differ.
 func (c *Core) handleReply(now clock.Millis, p Packet) []Effect {
 	c.mergePacket(now, p)
 	peer, found := c.peers[p.Sender.Name]
-	if !found || p.FullTable || p.Digest == c.digest() || now-c.lastFullExchange < fullExchangeInterval {
+	switch {
+	case !found:
+		return nil
+	case len(p.Known) > 0:
+		return c.sendMissing(now, peer, p.Known)
+	case p.FullTable || p.Digest == c.digest() || !c.compareDue(now):
 		return nil
 	}
-	c.lastFullExchange = now
-	return []Effect{c.newExchange(peer, true)}
+	c.lastCompare = now
+	return []Effect{Exchange{Name: peer.Name, Address: peer.PeerListen, Packet: c.buildComparison(now, nil)}}
 }
 
+// mergePacket merges what a packet holds. Members that a comparison brings are not
+// spread further: whoever lacks them compares too.
 func (c *Core) mergePacket(now clock.Millis, p Packet) {
 	for _, m := range p.Updates {
-		c.merge(now, m)
+		c.merge(now, m, !p.FullTable && !p.Compared)
 	}
-	c.merge(now, p.Sender)
+	c.merge(now, p.Sender, true)
 	if peer, found := c.peers[p.Sender.Name]; found && peer.Incarnation == p.Sender.Incarnation {
 		peer.lastContact = now
 		peer.LastHeard = now
 		peer.digest = p.Digest
 	}
+	c.noteAgreement(now, p)
+}
+
+// noteAgreement records whether the sender of a packet has the same table.
+func (c *Core) noteAgreement(now clock.Millis, p Packet) {
+	if c.settled || p.Digest != c.digest() || len(c.changedMembers) > 0 {
+		return
+	}
+	c.agreements++
+	c.settled = p.Settled || c.agreements >= agreeingPackets && now-c.changedAt >= agreementTime
 }
 
-// merge replaces what is known of the member m if m is newer.
-func (c *Core) merge(now clock.Millis, m Member) {
+// merge replaces what is known of the member m if m is newer. With spread, a member
+// that was not known before is sent to others; changes of known ones always are.
+func (c *Core) merge(now clock.Millis, m Member, spread bool) {
 	m.LastHeard = now
 	if m.Name == c.self.Name {
 		c.refute(now, m)
@@ -48,7 +73,7 @@
 	case !found:
 		c.peers[m.Name] = &peerState{Member: m, stateSince: now}
 		c.changedMembers = append(c.changedMembers, m)
-		if m.State != Dead {
+		if m.State != Dead && spread {
 			c.updates.enqueue(m.Name, false)
 		}
 	case m.Incarnation > known.Incarnation,
@@ -119,11 +144,11 @@
 	for _, name := range c.peerNames() {
 		peer := c.peers[name]
 		if peer.State != Dead && peer.Region == c.self.Region {
-			effects = append(effects, c.newExchange(peer, false))
+			effects = append(effects, c.newExchange(now, peer))
 		}
 	}
 	for _, name := range c.remoteDelegates() {
-		effects = append(effects, c.newExchange(c.peers[name], false))
+		effects = append(effects, c.newExchange(now, c.peers[name]))
 	}
 	return effects
 }
--- a/daemon/gossiper/messages.go
+++ b/daemon/gossiper/messages.go
@@ -105,4 +105,11 @@
 	// Digest is a hash of the names, incarnations and states of all members that
 	// are not dead for the sender.
 	Digest uint64
+	// Known, if any, holds the hash of each member that the sender knows, dead ones
+	// included. The receiver sends the members whose hash is missing.
+	Known []uint64
+	// Compared reports whether Updates hold what a comparison found to be missing.
+	Compared bool
+	// Settled reports whether the sender has found the daemons of the fleet.
+	Settled bool
 }
--- a/daemon/gossiper/probe.go
+++ b/daemon/gossiper/probe.go
@@ -20,17 +20,17 @@
 	c.publishReport(now)
 	c.expire(now)
 	if peer := c.nextProbeTarget(&c.regionRound, c.regionPeerNames); peer != nil {
-		effects = append(effects, c.newExchange(peer, false))
+		effects = append(effects, c.newExchange(now, peer))
 	}
 	if c.isDelegate() {
 		c.suspectSilentRegions(now)
 		if peer := c.nextProbeTarget(&c.remoteRound, c.remoteDelegates); peer != nil {
-			effects = append(effects, c.newExchange(peer, false))
+			effects = append(effects, c.newExchange(now, peer))
 		}
 	}
 	if now-c.lastRejoin >= rejoinInterval || len(c.Members()) == 1 {
 		c.lastRejoin = now
-		effects = append(effects, c.rejoin()...)
+		effects = append(effects, c.rejoin(now)...)
 	}
 	return effects
 }
@@ -49,8 +49,8 @@
 }
 
 // newExchange returns the effect that probes the peer.
-func (c *Core) newExchange(peer *peerState, fullTable bool) Effect {
-	return Exchange{Name: peer.Name, Address: peer.PeerListen, Packet: c.buildPacket(peer.Name, fullTable)}
+func (c *Core) newExchange(now clock.Millis, peer *peerState) Effect {
+	return Exchange{Name: peer.Name, Address: peer.PeerListen, Packet: c.buildPacket(now, peer.Name)}
 }
 
 // nextProbeTarget removes the next peer that is not dead from the round and
@@ -215,10 +215,10 @@
 	}
 }
 
-// rejoin returns an exchange of full tables with a random address at which no
+// rejoin returns a comparison of tables with a random address at which no
 // live member is known: a seed or the address of a dead member. A daemon without
 // live peers tries up to maxInitialJoins of them.
-func (c *Core) rejoin() (effects []Effect) {
+func (c *Core) rejoin(now clock.Millis) (effects []Effect) {
 	liveAddresses := map[string]bool{c.self.PeerListen: true}
 	var deadAddresses []string
 	for _, name := range c.peerNames() {
@@ -244,7 +244,7 @@
 		count = maxInitialJoins
 	}
 	for _, address := range candidates[:min(count, len(candidates))] {
-		effects = append(effects, Exchange{Address: address, Packet: c.buildPacket("", true)})
+		effects = append(effects, Exchange{Address: address, Packet: c.buildComparison(now, nil)})
 	}
 	return effects
 }
