News of a large table flows on after a listing

The register had dropped its history, so the readers had listed the table; a daemon that lists knows of no removal before the listing, and sends nothing of a table of more than 64 rows to a peer that is behind it until that peer has asked three times in vain. Each daemon that then took the whole table did the same to the next ones. Change: a listing shows which of the rows known before it are gone, so only rows that came and went between the last known version and the listing stay unknown. These spans are kept and passed on with the rows; peers within one of them ask for all rows as before, all others get the changes at once. After: TestListingKeepsNewsFlowing, TestDaemonsThatSyncWithEachOtherAgree (also with 3,000 random histories) pass. The test found that the spans must be passed on: a daemon that took over a listing claimed to know all removals, and a row stayed at a third one for good.

--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -308,10 +308,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range peerVersions {
-		rows, whole := f.rowsSince(v.GetTable(), v.GetVersion())
+		rows, whole, complete := f.rowsSince(v.GetTable(), v.GetVersion())
 		switch {
 		case whole:
 			out.Whole = append(out.Whole, v.GetTable())
+		case !complete:
+			continue
 		case len(rows) > maxReplyRows:
 			// The oldest changes are sent first; the next reply continues after them.
 			slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
@@ -322,6 +324,10 @@
 				}
 			}
 		}
+		out.Complete = append(out.Complete, v.GetTable())
+		for _, gap := range f.replica.listingGapsSince(v.GetTable(), v.GetVersion()) {
+			out.Gaps = append(out.Gaps, &wire.VersionGap{Table: v.GetTable(), After: gap.after, Before: gap.before})
+		}
 		for _, row := range rows {
 			out.Rows = append(out.Rows, &wire.FollowedRow{
 				Table: row.Table, Key: row.Key, Value: row.Value, Version: row.Version, Gone: row.Removed,
@@ -333,14 +339,14 @@
 
 // rowsSince returns the settled rows of a table that changed after a version. If
 // it is not known which rows were removed since, it returns all present rows and
-// sets whole, or no rows if the table is too large to be sent unrequested or not
-// settled. It is called with mu held.
-func (f *Follower) rowsSince(table string, version int64) (rows []Row, whole bool) {
+// sets whole; or it returns no rows and unsets complete, if the table is too large to
+// be sent unrequested or not settled. It is called with mu held.
+func (f *Follower) rowsSince(table string, version int64) (rows []Row, whole, complete bool) {
 	settled := f.settledVersion(table)
-	if version < f.replica.RemovalHorizon(table) {
+	if !f.replica.KnowsRemovalsSince(table, version) {
 		rows = f.replica.Rows(table)
 		if settled < f.replica.NewestVersion(table) || (version > 0 && len(rows) > smallTableRows) {
-			return nil, false
+			return nil, false, false
 		}
 		whole = true
 	} else {
@@ -350,7 +356,7 @@
 		// The newest row may be one that can't be decoded.
 		rows = append([]Row{usable}, rows...)
 	}
-	return slices.DeleteFunc(rows, func(row Row) bool { return row.Version > settled }), whole
+	return slices.DeleteFunc(rows, func(row Row) bool { return row.Version > settled }), whole, true
 }
 
 // applyReply applies the rows of a peer's reply and reports whether any changed.
@@ -364,6 +370,9 @@
 			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetGone(),
 		})
 	}
+	for _, gap := range reply.GetGaps() {
+		f.replica.addListingGap(gap.GetTable(), versionSpan{gap.GetAfter(), gap.GetBefore()})
+	}
 	peerVersions := versionsByTable(reply.GetHave())
 	var changes []Change
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
@@ -371,6 +380,8 @@
 		switch {
 		case whole:
 			changes = append(changes, f.replica.ApplyListing(table, rows, peerVersions[table])...)
+		case slices.Contains(reply.GetComplete(), table):
+			changes = append(changes, f.replica.ApplyPeerRows(table, rows, peerVersions[table])...)
 		case len(rows) > 0:
 			changes = append(changes, f.replica.ApplyRows(table, rows, peerVersions[table])...)
 		case peerVersions[table] > f.settledVersion(table):
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -83,6 +83,94 @@
 	})
 }
 
+// TestDaemonsThatSyncWithEachOtherAgree guards against a row that was added and removed
+// between two listings and stays at a daemon for good: others that took over the listing
+// must not claim to know of its removal. All listings and syncs come in any order.
+func TestDaemonsThatSyncWithEachOtherAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		actual := map[string]Row{}
+		var daemons []*Follower
+		for range 5 {
+			daemons = append(daemons, newIdleFollower())
+		}
+		reader, lister := daemons[0], daemons[1]
+		syncBetween := func(to, from int) {
+			if to != from {
+				daemons[to].applyReply(daemons[from].buildReply(daemons[to].requestedVersions()), "peer")
+			}
+		}
+		// Large enough to be sent whole only on request.
+		version := int64(0)
+		for i := range 2 * smallTableRows {
+			version++
+			row := newContentRow('x', fmt.Sprint("old", i), version)
+			actual[row.Key] = row
+			reader.replica.ApplyFeed("t", []Row{row}, version)
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "count") {
+			switch rapid.IntRange(0, 5).Draw(t, "next") {
+			case 0, 1:
+				version++
+				row := newContentRow('x', rapid.SampledFrom([]string{"a", "b", "c", "old1"}).Draw(t, "key"), version)
+				if _, exists := actual[row.Key]; exists {
+					row.Removed, row.Value = true, nil
+					delete(actual, row.Key)
+				} else {
+					actual[row.Key] = row
+				}
+				reader.replica.ApplyFeed("t", []Row{row}, version)
+			case 2:
+				var present []Row
+				for _, row := range actual {
+					present = append(present, row)
+				}
+				lister.replica.ApplyListing("t", present, version)
+			default:
+				syncBetween(rapid.IntRange(1, 4).Draw(t, "to"), rapid.IntRange(0, 4).Draw(t, "from"))
+			}
+		}
+		for range 2 * (maxWithheldReplies + 1) {
+			for to := range daemons {
+				for from := range daemons {
+					syncBetween(to, from)
+				}
+			}
+		}
+		for i, d := range daemons {
+			rows := d.replica.Rows("t")
+			if len(rows) != len(actual) {
+				t.Fatalf("daemon %d has %d rows, %d exist", i, len(rows), len(actual))
+			}
+			for _, row := range rows {
+				if _, exists := actual[row.Key]; !exists {
+					t.Fatalf("daemon %d has row %s, which was removed", i, row.Key)
+				}
+			}
+		}
+	})
+}
+
+// TestListingKeepsNewsFlowing guards against news of a large table that waits at the
+// daemons that read it: after a listing, because the register had dropped its history,
+// they sent nothing to peers that were behind it until these asked for all rows.
+func TestListingKeepsNewsFlowing(t *testing.T) {
+	const count = 2 * smallTableRows
+	var rows []Row
+	for i := range int64(count) {
+		rows = append(rows, newContentRow('x', fmt.Sprint(i), i+1))
+	}
+	reader, receiver := newIdleFollower(), newIdleFollower()
+	reader.replica.ApplyListing("t", rows, count)
+	receiver.applyReply(reader.buildReply(receiver.requestedVersions()), "peer")
+	// One row is removed and one changes before the reader lists the table again.
+	rows = append(rows[1:count-1], newContentRow('y', fmt.Sprint(count-1), count+2))
+	reader.replica.ApplyListing("t", rows, count+2)
+	receiver.applyReply(reader.buildReply(receiver.requestedVersions()), "peer")
+	if known := receiver.replica.Rows("t"); len(known) != count-1 || receiver.replica.NewestVersion("t") != count+2 {
+		t.Errorf("%d rows, newest version %d", len(known), receiver.replica.NewestVersion("t"))
+	}
+}
+
 // TestLargeTableIsSentWholeOnlyOnRequest guards against a restarted daemon, which
 // doesn't know earlier removals, that sends a large table to every peer, or to none.
 func TestLargeTableIsSentWholeOnlyOnRequest(t *testing.T) {
--- a/daemon/follower/replica.go
+++ b/daemon/follower/replica.go
@@ -6,6 +6,7 @@
 package follower
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,25 +54,46 @@
 	// completeVersions holds, by table, the version up to which all rows are known.
 	completeVersions map[string]int64
 	// removalHorizons holds, by table, the version after which all removals are
-	// known.
+	// known, but for those in listingGaps.
 	removalHorizons map[string]int64
+	// listedVersions holds, by table, the version of the newest listing, here or at a
+	// peer whose rows were taken over.
+	listedVersions map[string]int64
+	// listingGaps holds, by table, the spans of versions that a listing skipped, in the
+	// order of their ends. Rows that were added and removed within a span are not known.
+	listingGaps map[string][]versionSpan
 }
 
+// versionSpan is the versions after one and before another.
+type versionSpan struct{ after, before int64 }
+
+// maxListingGaps bounds the listing gaps of a table. The oldest ones are merged into
+// the removal horizon.
+const maxListingGaps = 16
+
 // maxRemovedRows bounds the removed rows that are kept to be sent to peers.
 const maxRemovedRows = 4096
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{rows: map[rowID]Row{}, renewedVersions: map[rowID]int64{}, completeVersions: map[string]int64{}, removalHorizons: map[string]int64{}}
+	return &Replica{rows: map[rowID]Row{}, renewedVersions: map[rowID]int64{}, completeVersions: map[string]int64{}, removalHorizons: map[string]int64{}, listedVersions: map[string]int64{}, listingGaps: map[string][]versionSpan{}}
 }
 
 // CompleteVersion returns the version up to which all rows of a table are known,
 // 0 before the first listing.
 func (r *Replica) CompleteVersion(table string) int64 { return r.completeVersions[table] }
 
-// RemovalHorizon returns the version of a table after which all removals are
-// known. A listing doesn't show rows that were added and removed before it.
-func (r *Replica) RemovalHorizon(table string) int64 { return r.removalHorizons[table] }
+// KnowsRemovalsSince reports whether all removals of a table after a version are known,
+// for a peer that knows all rows up to that version. A listing shows which of the rows
+// known before it are gone, but not the rows that were added and removed since.
+func (r *Replica) KnowsRemovalsSince(table string, version int64) bool {
+	if version < r.removalHorizons[table] {
+		return false
+	}
+	return !slices.ContainsFunc(r.listingGaps[table], func(gap versionSpan) bool {
+		return gap.after < version && version < gap.before
+	})
+}
 
 // ApplyListing merges all rows of a table as of a version. Known rows that are
 // not listed, and not newer than the version, are marked as removed. It returns
@@ -87,14 +109,60 @@
 			changed = r.applyRow(Row{Table: table, Key: id.key, Version: version, Removed: true}, changed)
 		}
 	}
-	r.completeVersions[table] = max(r.completeVersions[table], version)
-	r.removalHorizons[table] = max(r.removalHorizons[table], version)
+	r.noteListing(table, version)
 	sortChanges(changed)
 	return changed
 }
 
-// ApplyRows merges all changed rows up to a version, as a peer sends them. It
-// returns the changes, sorted by key.
+// noteListing records that all rows of a table are known up to a version.
+func (r *Replica) noteListing(table string, version int64) {
+	complete := r.completeVersions[table]
+	switch {
+	case version <= complete:
+		return
+	case complete < r.removalHorizons[table] || complete == 0:
+		r.removalHorizons[table] = max(r.removalHorizons[table], version)
+	default:
+		r.addListingGap(table, versionSpan{complete, version})
+	}
+	r.completeVersions[table], r.listedVersions[table] = version, version
+}
+
+// addListingGap adds a span of versions in which a listing was made, here or at a peer
+// whose rows were taken over.
+func (r *Replica) addListingGap(table string, span versionSpan) {
+	gaps := r.listingGaps[table]
+	if span.before <= r.removalHorizons[table] || slices.Contains(gaps, span) {
+		return
+	}
+	gaps = append(gaps, span)
+	slices.SortFunc(gaps, func(a, b versionSpan) int { return cmp.Compare(a.before, b.before) })
+	if len(gaps) > maxListingGaps {
+		r.removalHorizons[table] = max(r.removalHorizons[table], gaps[0].before)
+		gaps = gaps[1:]
+	}
+	r.listingGaps[table] = gaps
+}
+
+// listingGapsSince returns the listing gaps of a table that end after a version.
+func (r *Replica) listingGapsSince(table string, version int64) (gaps []versionSpan) {
+	for _, gap := range r.listingGaps[table] {
+		if gap.before > version {
+			gaps = append(gaps, gap)
+		}
+	}
+	return gaps
+}
+
+// ApplyPeerRows merges the rows of a peer that hold all changes since the version known
+// here, up to a version. It returns the changes, sorted by key.
+func (r *Replica) ApplyPeerRows(table string, rows []Row, version int64) (changed []Change) {
+	changed = r.ApplyRows(table, rows, version)
+	r.listedVersions[table] = max(r.listedVersions[table], version)
+	return changed
+}
+
+// ApplyRows merges changed rows up to a version. It returns the changes, sorted by key.
 func (r *Replica) ApplyRows(table string, rows []Row, version int64) (changed []Change) {
 	for _, row := range rows {
 		changed = r.applyRow(row, changed)
@@ -187,6 +255,7 @@
 // table is known: that of its newest change, or of a later listing.
 func (r *Replica) NewestVersion(table string) (version int64) {
 	version = r.removalHorizons[table]
+	version = max(version, r.listedVersions[table])
 	for id, row := range r.rows {
 		if id.table == table {
 			version = max(version, row.Version)
