Limits hold whoever comes and goes

Cause: a home that starts had a full bucket if no older daemon could have lent, so that after a restart of all an organisation got its burst again, from every daemon that took itself for the home; any daemon lent to anyone who asked; daemons that were taken for gone went on with their buckets. Change: the bucket of a home counts as empty at the last time at which another daemon may have lent: its start, the last loan that former homes tell of when they are asked to lend no more, or now where one does not answer. Only the home by its own view lends, others name it; a daemon that was asked to release an organisation names its successor until the news has spread. Nothing is lent or borrowed before the view is settled. After a change of its incarnation a daemon takes over anew. Lent parts are valid for 1 s instead of 2: what is lent in one window and used in the next is as much. The members are tracked in one walk instead of each against each.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -95,10 +95,12 @@
 
 // newLimiter returns a limiter that enforces the limits of organisations before
 // it passes a request on to the reserver.
-func newLimiter(source inventory.Source, view gossiper.View, c clock.Clock, peers *connector.Connector, r *reserver.Remote, registerer prometheus.Registerer) limiterResult {
+func newLimiter(source inventory.Source, members *gossiper.Gossiper, c clock.Clock, peers *connector.Connector, r *reserver.Remote, registerer prometheus.Registerer) limiterResult {
+	view := gossiper.View(members)
 	l := &limiter.Limiter{
 		Next: r, Source: source, View: view, Clock: c, Registerer: registerer,
-		Borrow: limiter.NewBorrowFunc(peers, view.Self().Name),
+		Borrow: limiter.NewBorrowFunc(peers, view.Self().Name), AskRelease: limiter.NewReleaseFunc(peers, view.Self().Name),
+		Settled: members.Settled,
 	}
 	service := func(mux drpc.Mux) error {
 		return wire.DRPCRegisterLimit(mux, &limiter.Server{Limiter: l})
--- a/daemon/limiter/homes.go
+++ b/daemon/limiter/homes.go
@@ -1,7 +1,9 @@
 package limiter
 
 import (
+	"cmp"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 
@@ -10,7 +12,10 @@
 	"yuccaspread/daemon/sharder"
 )
 
-var errUnreachable = errors.New("home daemon does not answer")
+var (
+	errUnreachable = errors.New("home daemon does not answer")
+	errUnsettled   = errors.New("this daemon does not know the fleet yet")
+)
 
 // departedMember is a member that has left the view.
 type departedMember struct {
@@ -21,28 +26,32 @@
 // homes tracks the members of the view, to tell whether the home of an
 // organisation changed recently and which part of the limits may be lent.
 type homes struct {
-	started clock.Millis
-
-	mu          sync.Mutex
+	// aloneSince is the time before which another daemon may have lent in the place of
+	// this one: its start, or the last time that the others took it for gone. It is
+	// guarded by mu.
+	aloneSince clock.Millis
+	// incarnation is that of this daemon when aloneSince was set.
+	incarnation int64
+
+	mu sync.Mutex
+	// lastMembers holds the eligible members at the last call of trackMembers.
 	lastMembers []gossiper.Member
 	// departed holds the members that left within slotLifetime, by name.
 	departed map[string]departedMember
 	// regionsSeen holds the regions in which a daemon was ever seen.
 	regionsSeen map[string]bool
-	// sightings holds the daemons seen within sightingLifetime that did not leave
-	// in a planned way, by name.
-	sightings map[string]sighting
+	// missing holds the members that left within missingLifetime and not in a planned
+	// way, by name.
+	missing map[string]departedMember
 }
 
-// sighting is the region and the time in which a daemon was last seen.
-type sighting struct {
-	region string
-	seenAt clock.Millis
-}
+// askedFormerHomes is the number of daemons that a new home asks to lend no more. The
+// second and third matter where several daemons joined or left at once.
+const askedFormerHomes = 3
 
-// sightingLifetime is how long a daemon that has left the view still counts when
+// missingLifetime is how long a daemon that has left the view still counts when
 // one side of a partition decides whether it is the smaller one.
-const sightingLifetime = 1 * clock.Minute
+const missingLifetime = 1 * clock.Minute
 
 // home returns the home daemon of an organisation, or this daemon if no member
 // may lend.
@@ -74,30 +83,64 @@
 	members := view.Members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	eligible := make([]gossiper.Member, 0, len(members))
+	// Both lists are sorted by name.
+	last := h.lastMembers
 	for _, m := range members {
 		h.regionsSeen[m.Region] = true
+		for len(last) > 0 && last[0].Name < m.Name {
+			h.noteDeparture(now, last[0], false)
+			last = last[1:]
+		}
+		wasEligible := len(last) > 0 && last[0].Name == m.Name
 		if sharder.IsEligible(m) {
-			h.sightings[m.Name] = sighting{m.Region, now}
-		} else {
-			delete(h.sightings, m.Name)
+			eligible = append(eligible, m)
+			delete(h.missing, m.Name)
+		} else if wasEligible {
+			h.noteDeparture(now, last[0], true)
 		}
-	}
-	for name, s := range h.sightings {
-		if now-s.seenAt > sightingLifetime {
-			delete(h.sightings, name)
+		if wasEligible {
+			last = last[1:]
 		}
 	}
-	for _, m := range h.lastMembers {
-		if !slices.ContainsFunc(members, func(n gossiper.Member) bool { return n.Name == m.Name && sharder.IsEligible(n) }) {
-			h.departed[m.Name] = departedMember{m, now}
-		}
+	for _, m := range last {
+		h.noteDeparture(now, m, false)
 	}
-	for name, d := range h.departed {
-		if now-d.departedAt > slotLifetime {
-			delete(h.departed, name)
-		}
+	h.lastMembers = eligible
+	maps.DeleteFunc(h.departed, func(_ string, d departedMember) bool { return now-d.departedAt > slotLifetime })
+	maps.DeleteFunc(h.missing, func(_ string, d departedMember) bool { return now-d.departedAt > missingLifetime })
+}
+
+// noteDeparture records that a member is no longer eligible; planned means that it is
+// still there and stops in a planned way. It is called with mu held.
+func (h *homes) noteDeparture(now clock.Millis, m gossiper.Member, planned bool) {
+	h.departed[m.Name] = departedMember{m, now}
+	if !planned {
+		h.missing[m.Name] = departedMember{m, now}
 	}
-	h.lastMembers = slices.DeleteFunc(slices.Clone(members), func(m gossiper.Member) bool { return !sharder.IsEligible(m) })
+}
+
+// isResumed reports whether the incarnation of this daemon has changed: the others
+// suspected it, or took it for gone, and another home may have taken over.
+func (h *homes) isResumed(self gossiper.Member) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return self.Incarnation != h.incarnation
+}
+
+// resume records that another home may have taken over until now.
+func (h *homes) resume(now clock.Millis, self gossiper.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.incarnation, h.aloneSince = self.Incarnation, now
+}
+
+// earliestTenure returns the time before which another daemon may have lent in the place
+// of this one.
+func (h *homes) earliestTenure() clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.aloneSince
 }
 
 // isNewHome reports whether another daemon may have been the home of the
@@ -105,7 +148,7 @@
 func (h *homes) isNewHome(now clock.Millis, organisation, self string, members []gossiper.Member) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now-h.started < slotLifetime && h.predecessorMayHaveLent(organisation, self, members) {
+	if now-h.aloneSince < slotLifetime {
 		return true
 	}
 	if len(h.departed) == 0 {
@@ -119,18 +162,28 @@
 	return homeName(formerMembers, organisation) != self
 }
 
-// predecessorMayHaveLent reports whether the home before this daemon's start ran
-// long enough to have lent. Daemons that all start at once have no predecessor.
-// It is called with mu held.
-func (h *homes) predecessorMayHaveLent(organisation, self string, members []gossiper.Member) bool {
-	others := slices.DeleteFunc(slices.Clone(members), func(m gossiper.Member) bool { return m.Name == self })
-	name := homeName(others, organisation)
-	for _, m := range others {
-		if m.Name == name {
-			return clock.Millis(m.Incarnation) < h.started-slotLifetime
+// formerHomes returns the daemons that may have been the home of the organisation
+// before this one: those of the highest rank among the other members, leaving ones
+// included, and those that left the view within slotLifetime.
+func (h *homes) formerHomes(organisation, self string, members []gossiper.Member) (former []gossiper.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range members {
+		if m.Name != self {
+			former = append(former, m)
 		}
 	}
-	return false
+	for _, d := range h.departed {
+		if !slices.ContainsFunc(former, func(m gossiper.Member) bool { return m.Name == d.member.Name }) {
+			former = append(former, d.member)
+		}
+	}
+	ranks := make(map[string]uint64, len(former))
+	for _, m := range former {
+		ranks[m.Name] = sharder.Rank(m.Name, organisation)
+	}
+	slices.SortFunc(former, func(a, b gossiper.Member) int { return cmp.Compare(ranks[b.Name], ranks[a.Name]) })
+	return former[:min(len(former), askedFormerHomes)]
 }
 
 // lendableShare returns the share of the limits, at most 1, that is lent on this
@@ -150,13 +203,14 @@
 		h.regionsSeen[region] = true
 	}
 	share = float64(len(seen)) / float64(max(len(h.regionsSeen), 1))
-	known := 0
-	for _, s := range h.sightings {
-		if seen[s.region] {
+	eligible := countEligible(members)
+	known := eligible
+	for _, d := range h.missing {
+		if seen[d.member.Region] {
 			known++
 		}
 	}
-	if eligible := countEligible(members); known > 1 && 2*eligible <= known {
+	if known > 1 && 2*eligible <= known {
 		share *= partitionedShare * float64(eligible) / float64(known)
 	}
 	return share
--- a/daemon/limiter/lender.go
+++ b/daemon/limiter/lender.go
@@ -1,11 +1,15 @@
 package limiter
 
-import "yuccaspread/common/clock"
+import (
+	"math"
+
+	"yuccaspread/common/clock"
+)
 
 // Lifetimes of loans.
 const (
 	// chunkLifetime is how long lent requests and tokens may be used.
-	chunkLifetime = 2 * clock.Second
+	chunkLifetime = 1 * clock.Second
 	// slotLifetime is how long lent concurrency is valid without renewal.
 	slotLifetime = 10 * clock.Second
 	// slotRetryInterval is the time after which to ask again for concurrency.
@@ -35,6 +39,9 @@
 	Slots    int
 	// RetryAfter is the time until more can be lent, 0 if all was.
 	RetryAfter clock.Millis
+	// Home names the home of the organisation if the asked daemon is not the home;
+	// nothing is lent then.
+	Home string
 }
 
 // Lender lends the limits of the organisations whose home it is. The zero
@@ -54,6 +61,8 @@
 	terms    Terms
 	// slots is the lent concurrency by daemon.
 	slots map[string]slotLoan
+	// lentAt is when something was last lent.
+	lentAt clock.Millis
 }
 
 type slotLoan struct {
@@ -61,33 +70,68 @@
 	expires clock.Millis
 }
 
-// Lend answers a daemon's want. With startEmpty, the buckets of a new account
-// start empty, because another home may have just lent all of the organisation's
-// limits.
-func (l *Lender) Lend(now clock.Millis, daemon string, terms Terms, want Want, startEmpty bool) (loan Loan) {
-	a := l.account(now, terms, want.Organisation, startEmpty)
+// Open opens the account of an organisation that has none. Nobody else has lent its
+// limits since a time, at which its buckets count as empty: whatever was lent before,
+// all loans of any span stay within the limits.
+func (l *Lender) Open(now clock.Millis, terms Terms, organisation string, since clock.Millis) {
+	if l.Holds(organisation) {
+		return
+	}
+	if l.accounts == nil {
+		l.accounts = map[string]*account{}
+	}
+	a := &account{filledAt: min(since, now), lentAt: math.MinInt64, slots: map[string]slotLoan{}}
+	a.refill(now, terms)
+	l.accounts[organisation] = a
+}
+
+// Holds reports whether the organisation has an account.
+func (l *Lender) Holds(organisation string) bool { return l.accounts[organisation] != nil }
+
+// Close closes the account of an organisation. It returns when something was last
+// lent from it; lent is false if nothing was.
+func (l *Lender) Close(organisation string) (lentAt clock.Millis, lent bool) {
+	a := l.accounts[organisation]
+	if a == nil {
+		return 0, false
+	}
+	delete(l.accounts, organisation)
+	return a.lentAt, a.lentAt != math.MinInt64
+}
+
+// Drain empties the buckets of an organisation, because another daemon lends its limits
+// now.
+func (l *Lender) Drain(now clock.Millis, organisation string) {
+	if a := l.accounts[organisation]; a != nil {
+		a.requests, a.tokens, a.filledAt = min(a.requests, 0), min(a.tokens, 0), now
+	}
+}
+
+// Organisations returns the names of the organisations with an account, in no order.
+func (l *Lender) Organisations() (names []string) {
+	for name := range l.accounts {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Lend answers a daemon's want from the account of the organisation. Without an
+// account it lends nothing.
+func (l *Lender) Lend(now clock.Millis, daemon string, terms Terms, want Want) (loan Loan) {
+	a := l.accounts[want.Organisation]
+	if a == nil {
+		return Loan{RetryAfter: slotRetryInterval}
+	}
 	a.refill(now, terms)
 	a.requests = min(a.requests+float64(want.ReturnedRequests), terms.Burst)
 	a.tokens = min(a.tokens+float64(want.ReturnedTokens), terms.TokenBurst)
 	loan.Requests = a.lendRequests(want.Requests, &loan)
 	loan.Tokens = a.lendTokens(want.Tokens, want.LeastTokens, &loan)
 	loan.Slots = a.lendSlots(now, daemon, want.Slots, &loan)
-	return loan
-}
-
-func (l *Lender) account(now clock.Millis, terms Terms, organisation string, startEmpty bool) *account {
-	if l.accounts == nil {
-		l.accounts = map[string]*account{}
-	}
-	a := l.accounts[organisation]
-	if a == nil {
-		a = &account{requests: terms.Burst, tokens: terms.TokenBurst, filledAt: now, slots: map[string]slotLoan{}}
-		if startEmpty {
-			a.requests, a.tokens = 0, 0
-		}
-		l.accounts[organisation] = a
+	if loan.Requests > 0 || loan.Tokens > 0 || loan.Slots > 0 {
+		a.lentAt = now
 	}
-	return a
+	return loan
 }
 
 // refill fills the buckets for the time since the last call and drops expired
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -21,6 +21,11 @@
 	tickInterval = 1 * clock.Second
 	// borrowTimeout bounds one call to a home daemon.
 	borrowTimeout = 300 * clock.Millisecond
+	// maxHomesAsked is the number of daemons that are asked in turn where the views of
+	// the fleet differ for a moment.
+	maxHomesAsked = 2
+	// settlePollInterval is the time between two looks whether the view is settled.
+	settlePollInterval = 20 * clock.Millisecond
 	// unreachablePause is how long a home that did not answer is not called again.
 	unreachablePause = 1 * clock.Second
 )
@@ -36,6 +41,12 @@
 	// Borrow asks another daemon for loans and returns them in the order of the
 	// wants.
 	Borrow func(ctx context.Context, home gossiper.Member, wants []Want) ([]Loan, error)
+	// AskRelease calls Release of another daemon on behalf of this one.
+	AskRelease func(ctx context.Context, member gossiper.Member, organisation string) (Released, error)
+	// Settled reports whether View holds the daemons of the fleet; nil means that it
+	// always does. Until then nothing is lent or borrowed, because a daemon that knows
+	// only a part of the fleet takes the wrong one for the home.
+	Settled func() bool
 	// Registerer registers the metrics; with nil they are not exported.
 	Registerer prometheus.Registerer
 
@@ -52,6 +63,11 @@
 	// pendingLoans holds a channel for each organisation for which a loan is being
 	// requested; it is closed when the loan arrives.
 	pendingLoans map[string]chan struct{}
+	// openings holds a channel for each organisation whose account is being opened
+	// here; it is closed when that has ended.
+	openings map[string]chan struct{}
+	// successors holds the daemons to which organisations were released lately.
+	successors map[string]successor
 	// unreachableUntil is the time until which a home is not called, by name.
 	unreachableUntil map[string]clock.Millis
 	// lastAskedAt is when another daemon last asked this one for loans. isolated
@@ -64,8 +80,10 @@
 	l.once.Do(func() {
 		l.metrics = newMetrics(l.Registerer)
 		l.pendingLoans = map[string]chan struct{}{}
+		l.openings = map[string]chan struct{}{}
+		l.successors = map[string]successor{}
 		l.unreachableUntil = map[string]clock.Millis{}
-		l.homes = homes{started: l.Clock.Now(), regionsSeen: map[string]bool{}, departed: map[string]departedMember{}, sightings: map[string]sighting{}}
+		l.homes = homes{aloneSince: l.Clock.Now(), incarnation: l.View.Self().Incarnation, regionsSeen: map[string]bool{}, departed: map[string]departedMember{}, missing: map[string]departedMember{}}
 	})
 }
 
@@ -181,16 +199,53 @@
 }
 
 // borrowOne returns a loan from the home, or from this daemon's own part of the
-// limits while the home does not answer.
+// limits while the home does not answer. A daemon that knows a newer home names it;
+// that one is asked too.
 func (l *Limiter) borrowOne(ctx context.Context, now clock.Millis, terms Terms, want Want) (loan Loan) {
+	if !l.awaitSettled(ctx) {
+		return Loan{}
+	}
 	home := l.home(want.Organisation)
-	loans, err := l.borrowFrom(ctx, now, home, []Want{want})
-	if err == nil {
-		return loans[0]
+	for range maxHomesAsked {
+		loans, err := l.borrowFrom(ctx, now, home, []Want{want})
+		if err != nil {
+			break
+		}
+		if loans[0].Home == "" {
+			return loans[0]
+		}
+		// What was returned with the want counts here again.
+		other, found := l.member(loans[0].Home)
+		if !found {
+			break
+		}
+		home = other
 	}
 	return l.lendOwnPart(now, terms, want)
 }
 
+// awaitSettled waits until this daemon knows the fleet, and returns false if ctx ends
+// first.
+func (l *Limiter) awaitSettled(ctx context.Context) bool {
+	for l.Settled != nil && !l.Settled() {
+		if ctx.Err() != nil {
+			return false
+		}
+		clock.Sleep(ctx, settlePollInterval)
+	}
+	return true
+}
+
+// member returns the member of a name.
+func (l *Limiter) member(name string) (member gossiper.Member, found bool) {
+	for _, m := range l.View.Members() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return member, false
+}
+
 // lendOwnPart lends from this daemon's own part of the limits, which are split
 // evenly between the daemons.
 func (l *Limiter) lendOwnPart(now clock.Millis, terms Terms, want Want) Loan {
@@ -198,14 +253,16 @@
 	index, count := l.homes.position(l.View)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ownPartLender.Lend(now, l.View.Self().Name, terms.Part(index, count).ReducedForPartition(), want, false)
+	part := terms.Part(index, count).ReducedForPartition()
+	l.ownPartLender.Open(now, part, want.Organisation, l.homes.earliestTenure())
+	return l.ownPartLender.Lend(now, l.View.Self().Name, part, want)
 }
 
 // borrowFrom asks a home, which may be this daemon, for loans.
 func (l *Limiter) borrowFrom(ctx context.Context, now clock.Millis, home gossiper.Member, wants []Want) (loans []Loan, err error) {
 	self := l.View.Self().Name
 	if home.Name == self {
-		return l.Lend(self, wants), nil
+		return l.Lend(ctx, self, wants)
 	}
 	l.mu.Lock()
 	until := l.unreachableUntil[home.Name]
@@ -231,36 +288,59 @@
 }
 
 // Lend answers the wants of a daemon as the home of their organisations. The
-// loans are in the order of the wants.
-func (l *Limiter) Lend(daemon string, wants []Want) (loans []Loan) {
+// loans are in the order of the wants. It returns an error while this daemon does not
+// know the fleet.
+func (l *Limiter) Lend(ctx context.Context, daemon string, wants []Want) (loans []Loan, err error) {
 	l.prepare()
-	now := l.Clock.Now()
-	config := l.Source.Current()
+	if l.Settled != nil && !l.Settled() {
+		return nil, errUnsettled
+	}
+	if l.homes.isResumed(l.View.Self()) {
+		l.reviewAccounts(l.Clock.Now())
+	}
+	l.homes.trackMembers(l.Clock.Now(), l.View)
 	share := l.homes.lendableShare(l.View)
 	members := l.View.Members()
 	self := l.View.Self().Name
 	l.mu.Lock()
 	if daemon != self {
-		l.lastAskedAt, l.isolated = now, false
+		l.lastAskedAt, l.isolated = l.Clock.Now(), false
 	}
-	isolated := l.isolated
 	l.mu.Unlock()
 	for _, want := range wants {
-		organisation, _ := inventory.Lookup(config.Organisations, want.Organisation)
-		terms := TermsOf(organisation).Scaled(share)
-		if isolated {
-			index, count := l.homes.position(l.View)
-			terms = terms.Part(index, count).ReducedForPartition()
-		}
-		newHome := l.homes.isNewHome(now, want.Organisation, self, members)
-		if newHome {
-			terms.Concurrency = min(terms.Concurrency, terms.Part(0, max(len(members), 1)).Concurrency)
-		}
+		loans = append(loans, l.lendOne(ctx, daemon, want, share, members))
+	}
+	return loans, nil
+}
+
+// lendOne answers one want, or names the home of the organisation if that is another
+// daemon.
+func (l *Limiter) lendOne(ctx context.Context, daemon string, want Want, share float64, members []gossiper.Member) (loan Loan) {
+	self := l.View.Self().Name
+	organisation, _ := inventory.Lookup(l.Source.Current().Organisations, want.Organisation)
+	terms := TermsOf(organisation).Scaled(share)
+	home := l.homeOf(want.Organisation, members)
+	if home == self || home == "" {
+		home = l.openAccount(ctx, want.Organisation, terms, members)
+	}
+	if home != "" && home != self {
 		l.mu.Lock()
-		loans = append(loans, l.homeLender.Lend(now, daemon, terms, want, newHome))
-		l.mu.Unlock()
+		defer l.mu.Unlock()
+		l.homeLender.Drain(l.Clock.Now(), want.Organisation)
+		return Loan{Home: home}
 	}
-	return loans
+	now := l.Clock.Now()
+	newHome := l.homes.isNewHome(now, want.Organisation, self, members)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isolated {
+		index, count := l.homes.position(l.View)
+		terms = terms.Part(index, count).ReducedForPartition()
+	}
+	if newHome {
+		terms.Concurrency = min(terms.Concurrency, terms.Part(0, max(len(members), 1)).Concurrency)
+	}
+	return l.homeLender.Lend(now, daemon, terms, want)
 }
 
 // refund restores what an admitted request used that got no slot.
@@ -286,6 +366,7 @@
 	l.prepare()
 	now := l.Clock.Now()
 	l.homes.trackMembers(now, l.View)
+	l.reviewAccounts(now)
 	l.mu.Lock()
 	l.homeLender.ForgetIdle(now)
 	l.ownPartLender.ForgetIdle(now)
@@ -301,6 +382,9 @@
 	if checkIsolation {
 		l.probeReachability(ctx)
 	}
+	if l.Settled != nil && !l.Settled() {
+		return
+	}
 	byHome := map[string][]Want{}
 	homes := map[string]gossiper.Member{}
 	for _, want := range due {
@@ -317,7 +401,7 @@
 	loans, err := l.borrowFrom(ctx, now, home, wants)
 	for i, want := range wants {
 		var loan Loan
-		if err == nil {
+		if err == nil && loans[i].Home == "" {
 			loan = loans[i]
 		} else {
 			organisation, _ := inventory.Lookup(l.Source.Current().Organisations, want.Organisation)
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -65,14 +65,20 @@
 		name := fmt.Sprintf("d%d", i)
 		f.members = append(f.members, gossiper.Member{Name: name, Region: "a", Incarnation: int64(clock.Hour)})
 		l := &limiter.Limiter{Next: grantAll{}, Source: source{config}, View: view{f, name}, Clock: &f.clock}
-		l.Borrow = func(_ context.Context, home gossiper.Member, wants []limiter.Want) ([]limiter.Loan, error) {
+		l.Borrow = func(ctx context.Context, home gossiper.Member, wants []limiter.Want) ([]limiter.Loan, error) {
 			if f.partitioned {
 				return nil, errors.New("cut")
 			}
-			return f.limiters[home.Name].Lend(name, wants), nil
+			return f.limiters[home.Name].Lend(ctx, name, wants)
+		}
+		l.AskRelease = func(_ context.Context, member gossiper.Member, organisation string) (limiter.Released, error) {
+			return f.limiters[member.Name].Release(name, organisation), nil
 		}
 		f.limiters[name] = l
 	}
+	// The homes are not new.
+	f.tickAll()
+	f.clock.Advance(clock.Minute)
 	return f
 }
 
@@ -223,7 +229,8 @@
 	for i := range count {
 		name := fmt.Sprint("organisation-", i)
 		borrower.Admit(now, name, terms, 10, true)
-		borrower.AddLoan(now, name, lender.Lend(now, "d1", terms, borrower.WantForRequest(now, name, 10), false))
+		lender.Open(now, terms, name, 0)
+		borrower.AddLoan(now, name, lender.Lend(now, "d1", terms, borrower.WantForRequest(now, name, 10)))
 		if v, _ := borrower.Admit(now, name, terms, 10, true); v != limiter.Admitted {
 			t.Fatalf("verdict %v", v)
 		}
@@ -235,7 +242,7 @@
 	for range 30 {
 		now += clock.Second
 		for _, want := range borrower.DueWants(now) {
-			borrower.Renew(now, want.Organisation, lender.Lend(now, "d1", terms, want, false))
+			borrower.Renew(now, want.Organisation, lender.Lend(now, "d1", terms, want))
 		}
 		lender.ForgetIdle(now)
 	}
@@ -261,7 +268,8 @@
 		var borrower limiter.Borrower
 		for i := range organisations {
 			name := fmt.Sprint("organisation-", i)
-			borrower.AddLoan(0, name, lender.Lend(0, "d1", terms, borrower.WantForRequest(0, name, 10), false))
+			lender.Open(0, terms, name, 0)
+			borrower.AddLoan(0, name, lender.Lend(0, "d1", terms, borrower.WantForRequest(0, name, 10)))
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/daemon/limiter/partition_test.go
+++ b/daemon/limiter/partition_test.go
@@ -65,17 +65,35 @@
 		p.names = append(p.names, name)
 		p.limiters[name] = &limiter.Limiter{
 			Next: grantAll{}, Source: source{config}, View: partitionedView{p, name}, Clock: &p.clock,
-			Borrow: func(_ context.Context, home gossiper.Member, wants []limiter.Want) ([]limiter.Loan, error) {
+			Borrow: func(ctx context.Context, home gossiper.Member, wants []limiter.Want) ([]limiter.Loan, error) {
 				if !p.reaches(name, home.Name) {
 					return nil, errors.New("cut off")
 				}
-				return p.limiters[home.Name].Lend(name, wants), nil
+				return p.limiters[home.Name].Lend(ctx, name, wants)
+			},
+			AskRelease: func(_ context.Context, member gossiper.Member, organisation string) (limiter.Released, error) {
+				if !p.reaches(name, member.Name) {
+					return limiter.Released{}, errors.New("cut off")
+				}
+				return p.limiters[member.Name].Release(name, organisation), nil
 			},
 		}
 	}
+	p.age()
 	return p
 }
 
+// age lets all daemons run for some time, so that their homes are not new.
+func (p *partitionedFleet) age() {
+	for _, name := range p.names {
+		p.limiters[name].Tick(context.Background())
+	}
+	p.clock.Advance(clock.Minute)
+	for _, name := range p.names {
+		p.limiters[name].Tick(context.Background())
+	}
+}
+
 // Timeline of a run, and how many times the allowed rate is offered.
 const (
 	cutAt          = 10 * clock.Second
--- a/daemon/limiter/refund_test.go
+++ b/daemon/limiter/refund_test.go
@@ -17,12 +17,13 @@
 	}
 	var b limiter.Borrower
 	var l limiter.Lender
-	now := clock.Second
+	now := clock.Hour
+	l.Open(now, terms, "o", 0)
 	admitted := 0
 	for range 50 {
 		verdict, _ := b.Admit(now, "o", terms, 100, true)
 		if verdict == limiter.NeedsLoan {
-			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100), false))
+			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
 			verdict, _ = b.Admit(now, "o", terms, 100, true)
 		}
 		if verdict != limiter.Admitted {
@@ -36,7 +37,7 @@
 	for range 50 {
 		verdict, _ := b.Admit(now, "o", terms, 100, true)
 		if verdict == limiter.NeedsLoan {
-			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100), false))
+			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
 			verdict, _ = b.Admit(now, "o", terms, 100, true)
 		}
 		if verdict == limiter.Admitted {
--- a/daemon/limiter/server.go
+++ b/daemon/limiter/server.go
@@ -15,7 +15,7 @@
 }
 
 // Borrow implements wire.DRPCLimitServer.
-func (s *Server) Borrow(_ context.Context, req *wire.BorrowRequest) (reply *wire.BorrowReply, err error) {
+func (s *Server) Borrow(ctx context.Context, req *wire.BorrowRequest) (reply *wire.BorrowReply, err error) {
 	wants := make([]Want, 0, len(req.GetWants()))
 	for _, w := range req.GetWants() {
 		wants = append(wants, Want{
@@ -25,14 +25,38 @@
 		})
 	}
 	reply = &wire.BorrowReply{}
-	for _, l := range s.Limiter.Lend(req.GetDaemon(), wants) {
+	loans, err := s.Limiter.Lend(ctx, req.GetDaemon(), wants)
+	if err != nil {
+		return nil, err
+	}
+	for _, l := range loans {
 		reply.Loans = append(reply.Loans, &wire.Loan{
-			Requests: int32(l.Requests), Tokens: int64(l.Tokens), Slots: int32(l.Slots), RetryAfterMs: int64(l.RetryAfter),
+			Requests: int32(l.Requests), Tokens: int64(l.Tokens), Slots: int32(l.Slots), RetryAfterMs: int64(l.RetryAfter), Home: l.Home,
 		})
 	}
 	return reply, nil
 }
 
+// Release implements wire.DRPCLimitServer.
+func (s *Server) Release(_ context.Context, req *wire.ReleaseRequest) (reply *wire.ReleaseReply, err error) {
+	out := s.Limiter.Release(req.GetDaemon(), req.GetOrganisation())
+	return &wire.ReleaseReply{Refused: out.Refused, Lent: out.Lent, LentAgoMs: int64(out.LentAgo)}, nil
+}
+
+// NewReleaseFunc returns the function for Limiter.AskRelease that calls other daemons
+// over drpc.
+func NewReleaseFunc(peers *connector.Connector, self string) func(ctx context.Context, member gossiper.Member, organisation string) (Released, error) {
+	return func(ctx context.Context, member gossiper.Member, organisation string) (out Released, err error) {
+		conn := peers.PooledConn(ctx, member.PeerListen)
+		defer func() { _ = conn.Close() }()
+		reply, err := wire.NewDRPCLimitClient(conn).Release(ctx, &wire.ReleaseRequest{Daemon: self, Organisation: organisation})
+		if err != nil {
+			return out, err
+		}
+		return Released{Refused: reply.GetRefused(), Lent: reply.GetLent(), LentAgo: clock.Millis(reply.GetLentAgoMs())}, nil
+	}
+}
+
 // NewBorrowFunc returns the function for Limiter.Borrow that calls other daemons over
 // drpc.
 func NewBorrowFunc(peers *connector.Connector, self string) func(ctx context.Context, home gossiper.Member, wants []Want) ([]Loan, error) {
@@ -54,7 +78,7 @@
 		for _, l := range reply.GetLoans() {
 			loans = append(loans, Loan{
 				Requests: int(l.GetRequests()), Tokens: int(l.GetTokens()), Slots: int(l.GetSlots()),
-				RetryAfter: clock.Millis(l.GetRetryAfterMs()),
+				RetryAfter: clock.Millis(l.GetRetryAfterMs()), Home: l.GetHome(),
 			})
 		}
 		return loans, nil
--- a/daemon/sharder/sharder.go
+++ b/daemon/sharder/sharder.go
@@ -196,6 +196,10 @@
 	return best
 }
 
+// Rank returns the rank of a name for a key by rendezvous hashing; the highest one of
+// some names is that of HighestRanked.
+func Rank(name, key string) uint64 { return rendezvousHash(name, key) }
+
 // rendezvousHash returns the weight of a name for a key; the highest one wins.
 func rendezvousHash(name, key string) uint64 {
 	var digest xxhash.Digest
