Daemons look for each other ten times a second until settled

Change: a probe each 100 ms until settled, each 500 ms in the first 5 s. Before, in virtual time: 195 daemons settled 1.1 to 1.6 s after the first start, 350 up to 2 s.

--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -26,11 +26,13 @@
 	// rejoinInterval is the time between two attempts to reach a seed or a dead
 	// member.
 	rejoinInterval = 5 * clock.Second
-	// joinTime is how long a daemon that has started probes each joinTickInterval
-	// and compares tables at each probe: a fleet that starts at once has to find
-	// itself before it schedules.
-	joinTime         = 5 * clock.Second
-	joinTickInterval = 250 * clock.Millisecond
+	// findInterval is the time between two probes until this daemon is settled: a
+	// fleet that starts at once has to find itself before it schedules.
+	findInterval = 100 * clock.Millisecond
+	// joinTime is how long a daemon that has started probes each joinInterval, and
+	// compares tables at each probe.
+	joinTime     = 5 * clock.Second
+	joinInterval = 500 * clock.Millisecond
 	// settleAge is the age from which on a daemon assumes that it has found the
 	// others; in fleets of 350 that start at once all know each other by then.
 	settleAge = 2 * clock.Second
@@ -218,10 +220,14 @@
 
 // TickAfter returns the time from now until the next Tick is due.
 func (c *Core) TickAfter(now clock.Millis) clock.Millis {
-	if c.joining(now) {
-		return joinTickInterval
+	switch {
+	case !c.Settled(now):
+		return findInterval
+	case c.joining(now):
+		return joinInterval
+	default:
+		return TickInterval
 	}
-	return TickInterval
 }
 
 func (c *Core) joining(now clock.Millis) bool { return now-c.started < joinTime }
