A slow stream goes on until another upstream has a slot for it

The silence timeout ended the attempt before anything else was there to take over, and so cut sound streams where the pool was full or the retry budget used up. It counted any byte as progress, so a stalled stream that sends a byte now and then never left its upstream. Change: when the timeout passes, a slot elsewhere is reserved while the attempt goes on; only with the slot and a retry from the budget does the attempt end. Whole events count as progress, and the time in which the caller takes them does not count as silence. An event of more than 1 MB ends the attempt; an answer that says that it was not run is read for 100 ms at most. What an upstream did not run is given back to the limit.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -11,12 +11,13 @@
 
 	"k8s.io/klog/v2"
 
+	"yuccaspread/common/clock"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/sender"
 )
 
-// Buffer sizes for reading answers, in bytes.
+// Bounds of reading answers; sizes are in bytes.
 const (
 	// chunkBytes is the size of one read from an upstream.
 	chunkBytes = 8 << 10
@@ -24,6 +25,12 @@
 	// before any of it is forwarded. An answer that breaks off below this size
 	// can still be replaced by that of another attempt.
 	maxBufferedBytes = 256 << 10
+	// discardTimeout bounds the reading of an answer that is not forwarded, which lets
+	// its connection be used again.
+	discardTimeout = 100 * clock.Millisecond
+	// maxEventBytes is the largest event of a stream: an upstream in trouble may send
+	// bytes without an end.
+	maxEventBytes = 1 << 20
 )
 
 // Errors of an attempt that was sent.
@@ -50,36 +57,39 @@
 
 // handleResponse reads an upstream's answer and forwards it to the caller, unless
 // another attempt may yield a better one.
-func (r *requestState) handleResponse(ctx context.Context, res *http.Response, slot reserver.Slot, timer *silenceTimer) (e attemptEnd, err error) {
+//
+// It returns the number of whole events.
+func (r *requestState) handleResponse(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, events int, err error) {
 	info := r.Protocol.ResponseInfo(res.StatusCode, res.Header)
 	success := res.StatusCode/100 == http.StatusOK/100
 	switch {
 	case info.RequestID != "" && info.RequestID != r.req.ID:
 		sender.Abandon(res)
-		return unanswered, errWrongRequest
+		return unanswered, 0, errWrongRequest
 	case info.NotRun:
-		_, _ = io.CopyN(io.Discard, res.Body, chunkBytes)
-		return notRun, fmt.Errorf("%w: status %d, other instance %t, load %d+%d of %d", errNotRun, res.StatusCode,
+		sender.Discard(res, chunkBytes, discardTimeout)
+		return notRun, 0, fmt.Errorf("%w: status %d, other instance %t, load %d+%d of %d", errNotRun, res.StatusCode,
 			info.OtherInstance, info.Running, info.Waiting, info.Slots)
 	case success && !info.Authenticated, res.StatusCode < http.StatusOK:
 		sender.Abandon(res)
-		return unanswered, errNotAuthenticated
+		return unanswered, 0, errNotAuthenticated
 	case success && r.req.Stream:
-		return r.forwardEvents(ctx, res, slot, timer)
+		return r.forwardEvents(ctx, res, slot, watch)
 	default:
-		return r.forwardBody(res, slot, timer)
+		e, err = r.forwardBody(res, slot, watch)
+		return e, 0, err
 	}
 }
 
 // forwardBody forwards an answer without events. An answer below maxBufferedBytes
 // is read completely first; a larger one is forwarded as it arrives. A failure
 // that another attempt may replace is kept in r.failure.
-func (r *requestState) forwardBody(res *http.Response, slot reserver.Slot, timer *silenceTimer) (e attemptEnd, err error) {
+func (r *requestState) forwardBody(res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, err error) {
 	buffered, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
 	if err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
-	timer.recordData()
+	watch.recordProgress()
 	slot.FirstToken(0)
 	r.recordFirstByte()
 	if len(buffered) == maxBufferedBytes {
@@ -106,40 +116,51 @@
 	return completed, nil
 }
 
-// forwardEvents forwards a stream of events as they arrive.
-func (r *requestState) forwardEvents(ctx context.Context, res *http.Response, slot reserver.Slot, timer *silenceTimer) (e attemptEnd, err error) {
+// forwardEvents forwards a stream of events as they arrive, and returns the number of
+// whole ones.
+func (r *requestState) forwardEvents(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, events int, err error) {
 	var splitter eventSplitter
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, readErr := res.Body.Read(buffer)
 		if n > 0 {
-			if timer.events == 0 {
+			before := splitter.events
+			whole := splitter.feed(buffer[:n])
+			if before == 0 && splitter.events > 0 {
 				slot.FirstToken(0)
 				r.recordFirstByte()
 			}
-			timer.recordData()
-			if err = r.writeEvents(res, &splitter, buffer[:n]); err != nil {
-				return completed, err
+			if splitter.events > before {
+				watch.recordProgress()
+			}
+			if !r.resumable {
+				whole = buffer[:n]
+			}
+			if err = r.writeEvents(res, &splitter, whole); err != nil {
+				return completed, splitter.events, err
+			}
+			if splitter.events > before {
+				watch.resume()
+			}
+			if len(splitter.partial) > maxEventBytes {
+				sender.Abandon(res)
+				return broken, splitter.events, fmt.Errorf("%w: an event of more than %d bytes", errIncomplete, maxEventBytes)
 			}
 		}
 		if readErr == nil {
 			continue
 		}
-		timer.events = max(splitter.events, timer.events)
 		if !errors.Is(readErr, io.EOF) || ctx.Err() != nil {
-			return broken, fmt.Errorf("%w: %w", errIncomplete, readErr)
+			return broken, splitter.events, fmt.Errorf("%w: %w", errIncomplete, readErr)
 		}
-		return r.finishStream(res, &splitter)
+		e, err = r.finishStream(res, &splitter)
+		return e, splitter.events, err
 	}
 }
 
-// writeEvents forwards the bytes of one read. Of a resumable stream it forwards
+// writeEvents writes a part of a stream to the caller. Of a resumable stream these are
 // whole events only, so that another upstream can continue after the last one.
-func (r *requestState) writeEvents(res *http.Response, splitter *eventSplitter, piece []byte) (err error) {
-	out := splitter.feed(piece)
-	if !r.resumable {
-		out = piece
-	}
+func (r *requestState) writeEvents(res *http.Response, splitter *eventSplitter, out []byte) (err error) {
 	if len(out) == 0 {
 		return nil
 	}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -85,22 +85,29 @@
 
 // runAttempts makes attempts until one completes or no retry is allowed.
 func (r *requestState) runAttempts(ctx context.Context) (err error) {
+	var replacement reserver.Slot
 	for {
 		r.req.LastWriteAt = r.lastWriteAt
-		slot, err := r.Reserver.Reserve(ctx, r.req, r.excluded)
-		if err != nil {
-			return err
+		slot := replacement
+		if slot == nil {
+			if slot, err = r.Reserver.Reserve(ctx, r.req, r.excluded); err != nil {
+				return err
+			}
 		}
 		r.grantedAt = r.Clock.Now()
 		r.lastUpstream = slot.Upstream().Name
-		end, err := r.attempt(ctx, slot)
+		var end attemptEnd
+		end, replacement, err = r.attempt(ctx, slot)
 		r.recordAttempt(end)
+		allowed, usesBudget := r.retryAllowed(end)
+		allowed = allowed && ctx.Err() == nil
+		if replacement != nil && !allowed {
+			replacement.End(reserver.Usage{Outcome: reserver.NotSent, NotRun: true})
+		}
 		if end == completed {
 			return err
 		}
-		allowed, usesBudget := r.retryAllowed(end)
-		allowed = allowed && ctx.Err() == nil
-		if allowed && usesBudget {
+		if allowed && usesBudget && replacement == nil {
 			allowed = r.Budget.TakeRetry(r.req.Pool)
 		}
 		klog.InfoS("attempt failed", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream, "end", end.String(),
@@ -112,7 +119,9 @@
 		if !slices.Contains(r.excluded, r.lastUpstream) {
 			r.excluded = append(r.excluded, r.lastUpstream)
 		}
-		clock.Sleep(ctx, retryPause)
+		if replacement == nil {
+			clock.Sleep(ctx, retryPause)
+		}
 	}
 }
 
@@ -148,21 +157,22 @@
 // retryAfter is the Retry-After time for a request that no upstream accepted.
 const retryAfter = 200 * clock.Millisecond
 
-// attempt sends the request once, in the given slot, and forwards the answer.
-func (r *requestState) attempt(ctx context.Context, slot reserver.Slot) (e attemptEnd, err error) {
-	usage := reserver.Usage{Outcome: reserver.NotSent}
+// attempt sends the request once, in the given slot, and forwards the answer. Where
+// another upstream takes over, it returns the slot there.
+func (r *requestState) attempt(ctx context.Context, slot reserver.Slot) (e attemptEnd, replacement reserver.Slot, err error) {
+	usage := reserver.Usage{Outcome: reserver.NotSent, NotRun: true}
 	defer func() { slot.End(usage) }()
 	upstream, found := inventory.Lookup(r.Source.Current().Upstreams, slot.Upstream().Name)
 	if !found || upstream.Leaving || !slot.Confirm() {
-		return notSent, errUpstreamUnavailable
+		return notSent, nil, errUpstreamUnavailable
 	}
 	ctx, span := otel.Tracer("forwarder").Start(ctx, "attempt")
 	defer span.End()
 	span.SetAttributes(attribute.String("upstream", upstream.Name))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newSilenceTimer(r, cancel)
-	defer timer.stop()
+	watch := r.watchSilence(ctx, upstream.Name, cancel)
+	defer func() { replacement = watch.stop() }()
 	res, err := r.Sender.Send(ctx, sender.Call{
 		Method: r.req.Method, Address: upstream.Address, Host: r.req.Host, Path: r.req.Path, Body: r.req.Body,
 		Header: r.Protocol.Header(Attempt{Request: r.req, Upstream: upstream, TimeLeft: r.timeLeft(), LastEventID: r.resumePoint()}),
@@ -170,15 +180,15 @@
 	if err != nil {
 		if !sender.WasSent(err) {
 			usage.Outcome = reserver.UpstreamDied
-			return notSent, err
+			return notSent, nil, err
 		}
-		usage.Outcome = lostOutcome(ctx)
-		return unanswered, withCause(ctx, err)
+		usage = reserver.Usage{Outcome: lostOutcome(ctx)}
+		return unanswered, nil, withCause(ctx, err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	e, err = r.handleResponse(ctx, res, slot, timer)
-	usage = r.slotUsage(ctx, e, timer.events)
-	return e, withCause(ctx, err)
+	e, events, err := r.handleResponse(ctx, res, slot, watch)
+	usage = r.slotUsage(ctx, e, events)
+	return e, nil, withCause(ctx, err)
 }
 
 // errUpstreamUnavailable means that the upstream was removed or is leaving, or that
@@ -194,9 +204,9 @@
 		}
 		return reserver.Usage{Outcome: reserver.Completed, OutputTokens: max(events, 1)}
 	case failed, notRun:
-		return reserver.Usage{Outcome: reserver.Failed}
+		return reserver.Usage{Outcome: reserver.Failed, NotRun: e == notRun}
 	case notSent:
-		return reserver.Usage{Outcome: reserver.NotSent}
+		return reserver.Usage{Outcome: reserver.NotSent, NotRun: true}
 	case unanswered, broken:
 	}
 	return reserver.Usage{Outcome: lostOutcome(ctx)}
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -3,16 +3,22 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"yuccaspread/common/clock"
+	"yuccaspread/common/logger"
+	"yuccaspread/daemon/reserver"
 )
 
-// errSilent is the cancellation cause of an attempt whose upstream sent no data
-// within the timeout.
-var errSilent = errors.New("upstream sent no data within the silence timeout")
+// errSilent is the cancellation cause of an attempt whose upstream made no progress
+// within the timeout and that another upstream takes over.
+var errSilent = errors.New("upstream made no progress within the silence timeout")
 
-// Timeouts for an upstream that sends no data, used where the request can be
+// Timeouts for an upstream that makes no progress, used where the request can be
 // retried on another upstream. Factors are multiples of what the request names.
 const (
 	// answerTimeoutFactor times the objective is the timeout for an answer without
@@ -27,53 +33,142 @@
 	minSilenceTimeout = 250 * clock.Millisecond
 )
 
-// silenceTimer cancels an attempt whose upstream sends no data for too long, as
-// long as another attempt may follow.
-type silenceTimer struct {
-	timer *time.Timer
+// silenceWatch looks for another upstream while that of an attempt makes no progress.
+// The attempt goes on meanwhile: it ends only once another upstream has a slot for the
+// request, so that an upstream that is merely slow costs the caller nothing. Whole
+// events count as progress, and so does a whole answer without events; single bytes
+// don't.
+type silenceWatch struct {
+	request *requestState
+	// excluded names the upstreams that must not take over.
+	excluded []string
+	// cancel ends the attempt.
+	cancel context.CancelCauseFunc
 	// eventTimeout is the timeout between two events; 0 means none.
 	eventTimeout clock.Millis
-	// events counts the reads that returned data, or the whole events if there were
-	// more.
-	events int
+
+	mu sync.Mutex
+	// timer is nil if the attempt is not watched, or no longer.
+	timer *time.Timer
+	// timeout is the one that the timer runs for.
+	timeout clock.Millis
+	// steps counts the progress.
+	steps      int
+	progressAt clock.Millis
+	// replacement is the slot that takes over, nil for none.
+	replacement reserver.Slot
 }
 
-// newSilenceTimer returns the timer of the next attempt. The last allowed attempt
-// has no timeout: a late answer is better than none. A request without a bound of its
-// own (maxRuns 0) has a timeout on no attempt.
-func newSilenceTimer(r *requestState, cancel context.CancelCauseFunc) *silenceTimer {
-	t := &silenceTimer{}
+// watchSilence starts the watch of an attempt. The last allowed attempt is not watched: a
+// late answer is better than none. Nor is a request without a bound of its own
+// (maxRuns 0).
+func (r *requestState) watchSilence(ctx context.Context, upstream string, cancel context.CancelCauseFunc) *silenceWatch {
+	w := &silenceWatch{request: r, excluded: append(slices.Clone(r.excluded), upstream), cancel: cancel}
 	last := !r.repeatable || r.runs+1 >= max(r.maxRuns, 1)
 	if last || r.req.LatencyObjective <= 0 {
-		return t
+		return w
 	}
 	factor := answerTimeoutFactor
 	if r.req.Stream {
 		factor = firstEventTimeoutFactor
 		if r.req.EventGap > 0 {
-			t.eventTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
+			w.eventTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
 		}
 	}
-	timeout := max(clock.Millis(factor*float64(r.req.LatencyObjective)), minSilenceTimeout)
-	t.timer = time.AfterFunc(timeout.Duration(), func() { cancel(errSilent) })
-	return t
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timeout = max(clock.Millis(factor*float64(r.req.LatencyObjective)), minSilenceTimeout)
+	w.timer = time.AfterFunc(w.timeout.Duration(), func() { w.replace(ctx) })
+	return w
+}
+
+// recordProgress counts progress and stops the timer, which resume restarts: while the
+// caller takes what has come, the upstream is not waited for.
+func (w *silenceWatch) recordProgress() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.steps++
+	w.progressAt = w.request.Clock.Now()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 }
 
-// recordData counts a read that returned data and restarts the timer, or stops it if
-// there is no timeout between events.
-func (t *silenceTimer) recordData() {
-	t.events++
+// resume restarts the timer after progress, or ends the watch if there is no timeout
+// between events.
+func (w *silenceWatch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
-	case t.timer == nil:
-	case t.eventTimeout > 0:
-		t.timer.Reset(t.eventTimeout.Duration())
+	case w.timer == nil:
+	case w.eventTimeout > 0:
+		w.timeout = w.eventTimeout
+		w.timer.Reset(w.timeout.Duration())
 	default:
-		t.timer.Stop()
+		w.timer = nil
+	}
+}
+
+// replace reserves a slot on another upstream and ends the attempt, unless it has made
+// progress by then or no retry is left. It tries again after the timeout.
+func (w *silenceWatch) replace(ctx context.Context) {
+	r := w.request
+	w.mu.Lock()
+	steps, silent := w.steps, w.timeout
+	req := *r.req
+	req.LastWriteAt = max(req.LastWriteAt, w.progressAt)
+	w.mu.Unlock()
+	slot, err := r.Reserver.Reserve(ctx, &req, w.excluded)
+	taken := false
+	if err == nil {
+		taken = w.accept(ctx, slot, steps)
+	}
+	if ctx.Err() == nil || taken {
+		klog.InfoS("upstream is silent", logger.KeyRequest, r.req.ID, logger.KeyUpstream, w.excluded[len(w.excluded)-1],
+			"timeout_ms", silent, "events", steps, "replaced", taken, "other", err == nil)
+	}
+	if taken {
+		w.cancel(errSilent)
+		return
+	}
+	if err == nil {
+		slot.End(reserver.Usage{Outcome: reserver.NotSent, NotRun: true})
+	}
+	w.restart(steps)
+}
+
+// restart lets the timer run again if there was no progress since steps were counted;
+// progress has restarted it already.
+func (w *silenceWatch) restart(steps int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && w.steps == steps {
+		w.timer.Reset(w.timeout.Duration())
+	}
+}
+
+// accept makes a slot the one that takes over, if the attempt still runs and has made no
+// progress since steps were counted.
+func (w *silenceWatch) accept(ctx context.Context, slot reserver.Slot, steps int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || ctx.Err() != nil {
+		return false
+	}
+	if w.steps == steps && w.request.Budget.TakeRetry(w.request.req.Pool) {
+		w.replacement, w.timer = slot, nil
+		return true
 	}
+	return false
 }
 
-func (t *silenceTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
+// stop ends the watch and returns the slot that takes over, nil for none.
+func (w *silenceWatch) stop() (replacement reserver.Slot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
 	}
+	return w.replacement
 }
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -123,7 +123,7 @@
 		l.refund(req, firstAttempt)
 		return nil, err
 	}
-	return &limitedSlot{Slot: slot, limiter: l, organisation: req.Organisation, outputPrepaid: organisation.TokensInAdvance}, nil
+	return &limitedSlot{Slot: slot, limiter: l, request: req, firstAttempt: firstAttempt, outputPrepaid: organisation.TokensInAdvance}, nil
 }
 
 // chargedTokens returns the number of tokens that a request is charged when it
@@ -347,7 +347,7 @@
 	return l.homeLender.Lend(now, daemon, terms, want)
 }
 
-// refund restores what an admitted request used that got no slot.
+// refund restores what an admitted request used that got no slot or did not run.
 func (l *Limiter) refund(req *classifier.Request, firstAttempt bool) {
 	requests := 0
 	if firstAttempt {
@@ -421,7 +421,8 @@
 type limitedSlot struct {
 	reserver.Slot
 	limiter      *Limiter
-	organisation string
+	request      *classifier.Request
+	firstAttempt bool
 	// outputPrepaid means that the output tokens were charged on admission.
 	outputPrepaid bool
 	once          sync.Once
@@ -434,5 +435,11 @@
 	if s.outputPrepaid {
 		tokens = 0
 	}
-	s.once.Do(func() { s.limiter.release(s.organisation, tokens) })
+	s.once.Do(func() {
+		if usage.NotRun {
+			s.limiter.refund(s.request, s.firstAttempt)
+			return
+		}
+		s.limiter.release(s.request.Organisation, tokens)
+	})
 }
--- a/daemon/limiter/refund_test.go
+++ b/daemon/limiter/refund_test.go
@@ -6,6 +6,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/limiter"
+	"yuccaspread/daemon/reserver"
 )
 
 // TestRefundRestoresTheLimit guards against requests that were admitted but got
@@ -48,3 +49,16 @@
 		t.Errorf("%d requests of 100 tokens ran at once, the burst is 300", ran)
 	}
 }
+
+// TestRequestThatDidNotRunUsesNoLimit guards against a limit that is used up by requests
+// that an upstream turned away.
+func TestRequestThatDidNotRunUsesNoLimit(t *testing.T) {
+	f := newFleet(1, inventory.Organisation{TokensPerSecond: 100, TokenBurst: 100, TokensInAdvance: true})
+	for attempt := range 50 {
+		s, err := f.reserve(0, 60)
+		if err != nil {
+			t.Fatalf("refused after %d requests that did not run: %v", attempt, err)
+		}
+		s.End(reserver.Usage{Outcome: reserver.Failed, NotRun: true})
+	}
+}
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -33,6 +33,9 @@
 type Usage struct {
 	Outcome      Outcome `json:"outcome"`
 	OutputTokens int     `json:"output_tokens"`
+	// NotRun is set where the upstream stated that it did not run the request, or
+	// never got it.
+	NotRun bool `json:"not_run,omitempty"`
 }
 
 // Slot is the right to send one request to one upstream.
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -138,6 +138,17 @@
 	_ = res.Body.Close()
 }
 
+// Discard reads an answer that is not used, so that its connection can serve other
+// requests. An answer that is longer than limit bytes, or not read within timeout, is
+// abandoned.
+func Discard(res *http.Response, limit int64, timeout clock.Millis) {
+	timer := time.AfterFunc(timeout.Duration(), func() { Abandon(res) })
+	defer timer.Stop()
+	if n, err := io.CopyN(io.Discard, res.Body, limit); n == limit || !errors.Is(err, io.EOF) {
+		Abandon(res)
+	}
+}
+
 // answerBody is the body of an answer on a connection.
 type answerBody struct {
 	io.ReadCloser
