No kind of request and no organisation is starved

Tiers are strict, and where the important ones alone fill all slots for seconds the last one gets nothing, though its requests are short: all of them need a twentieth of the slots. Change: a scheduler counts what is asked and granted by route and by organisation. Those below kind_floor of the mean rate get free slots first, and are let in if their share serves them in time; a route that takes less than cheap_kind_share of the slots' time is served as often as the more important ones.

--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -202,6 +202,8 @@
 	requireField(l.AddressLifetimeMS == 0 || inRange(l.AddressLifetimeMS, MinAddressLifetime, maxAddressLifetime),
 		"address_lifetime_ms", "must be from %d to %d", MinAddressLifetime, maxAddressLifetime)
 	requireField(isFiniteNonNegative(l.RetryShare) && l.RetryShare <= 1, "retry_share", "must be from 0 to 1")
+	requireField(isFiniteNonNegative(l.KindFloor) && l.KindFloor < 1, "kind_floor", "must be from 0 to below 1")
+	requireField(isFiniteNonNegative(l.CheapKindShare) && l.CheapKindShare < 1, "cheap_kind_share", "must be from 0 to below 1")
 	requireField(isFiniteNonNegative(l.EjectShare) && l.EjectShare <= maxEjectShare, "eject_share", "must be from 0 to %v", maxEjectShare)
 	requireField(l.QueuePerShard >= 0, "queue_per_shard", "must not be negative")
 	requireField(l.BodyBytes >= 0, "body_bytes", "must not be negative")
--- a/common/inventory/inventory.go
+++ b/common/inventory/inventory.go
@@ -260,6 +260,13 @@
 	RetryShare float64 `json:"retry_share,omitempty" toml:"retry_share,omitempty"`
 	// EjectShare limits ejected stragglers to a share of a pool, in [0, 0.5].
 	EjectShare float64 `json:"eject_share,omitempty" toml:"eject_share,omitempty"`
+	// KindFloor is the share of the mean rate of service that each kind of request and
+	// each organisation gets at least at a scheduler, in [0, 1). 0 keeps the order
+	// strictly by tier.
+	KindFloor float64 `json:"kind_floor,omitempty" toml:"kind_floor,omitempty"`
+	// CheapKindShare is the share of the slots' time up to which a kind of request is
+	// served as often as more important ones, in [0, 1). It needs a KindFloor.
+	CheapKindShare float64 `json:"cheap_kind_share,omitempty" toml:"cheap_kind_share,omitempty"`
 	// QueuePerShard is the maximum number of requests that wait at one scheduler.
 	QueuePerShard int `json:"queue_per_shard,omitempty" toml:"queue_per_shard,omitempty"`
 	// BodyBytes is the maximum size of a request body.
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -124,27 +124,8 @@
 	for {
 		n, readErr := res.Body.Read(buffer)
 		if n > 0 {
-			before := splitter.events
-			whole := splitter.feed(buffer[:n])
-			if before == 0 && splitter.events > 0 {
-				slot.FirstToken(0)
-				r.recordFirstByte()
-			}
-			if splitter.events > before {
-				watch.recordProgress()
-			}
-			if !r.resumable {
-				whole = buffer[:n]
-			}
-			if err = r.writeEvents(res, &splitter, whole); err != nil {
-				return completed, splitter.events, err
-			}
-			if splitter.events > before {
-				watch.resume()
-			}
-			if len(splitter.partial) > maxEventBytes {
-				sender.Abandon(res)
-				return broken, splitter.events, fmt.Errorf("%w: an event of more than %d bytes", errIncomplete, maxEventBytes)
+			if e, err = r.forwardPiece(res, slot, watch, &splitter, buffer[:n]); err != nil {
+				return e, splitter.events, err
 			}
 		}
 		if readErr == nil {
@@ -158,6 +139,34 @@
 	}
 }
 
+// forwardPiece forwards what one read of a stream returned.
+func (r *requestState) forwardPiece(res *http.Response, slot reserver.Slot, watch *silenceWatch, splitter *eventSplitter, piece []byte) (e attemptEnd, err error) {
+	before := splitter.events
+	out := splitter.feed(piece)
+	progressed := splitter.events > before
+	if progressed {
+		watch.recordProgress()
+		if before == 0 {
+			slot.FirstToken(0)
+			r.recordFirstByte()
+		}
+	}
+	if !r.resumable {
+		out = piece
+	}
+	if err = r.writeEvents(res, splitter, out); err != nil {
+		return completed, err
+	}
+	if progressed {
+		watch.resume()
+	}
+	if len(splitter.partial) > maxEventBytes {
+		sender.Abandon(res)
+		return broken, fmt.Errorf("%w: an event of more than %d bytes", errIncomplete, maxEventBytes)
+	}
+	return completed, nil
+}
+
 // writeEvents writes a part of a stream to the caller. Of a resumable stream these are
 // whole events only, so that another upstream can continue after the last one.
 func (r *requestState) writeEvents(res *http.Response, splitter *eventSplitter, out []byte) (err error) {
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -87,9 +87,9 @@
 func (r *requestState) runAttempts(ctx context.Context) (err error) {
 	var replacement reserver.Slot
 	for {
-		r.req.LastWriteAt = r.lastWriteAt
 		slot := replacement
 		if slot == nil {
+			r.req.LastWriteAt = r.lastWriteAt
 			if slot, err = r.Reserver.Reserve(ctx, r.req, r.excluded); err != nil {
 				return err
 			}
@@ -99,21 +99,7 @@
 		var end attemptEnd
 		end, replacement, err = r.attempt(ctx, slot)
 		r.recordAttempt(end)
-		allowed, usesBudget := r.retryAllowed(end)
-		allowed = allowed && ctx.Err() == nil
-		if replacement != nil && !allowed {
-			replacement.End(reserver.Usage{Outcome: reserver.NotSent, NotRun: true})
-		}
-		if end == completed {
-			return err
-		}
-		if allowed && usesBudget && replacement == nil {
-			allowed = r.Budget.TakeRetry(r.req.Pool)
-		}
-		klog.InfoS("attempt failed", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream, "end", end.String(),
-			"reason", fmt.Sprint(err), "tries", r.tries, "runs", r.runs, "left_ms", r.timeLeft(), "again", allowed)
-		r.metrics.countFailedAttempt(end)
-		if !allowed {
+		if !r.continues(ctx, end, replacement, err) {
 			return err
 		}
 		if !slices.Contains(r.excluded, r.lastUpstream) {
@@ -125,6 +111,26 @@
 	}
 }
 
+// continues reports whether another attempt follows one that ended with end, in the slot
+// replacement if that is not nil. A slot that is not used is released.
+func (r *requestState) continues(ctx context.Context, end attemptEnd, replacement reserver.Slot, err error) bool {
+	allowed, usesBudget := r.retryAllowed(end)
+	allowed = allowed && ctx.Err() == nil
+	if replacement != nil && !allowed {
+		replacement.End(reserver.Usage{Outcome: reserver.NotSent, NotRun: true})
+	}
+	if end == completed {
+		return false
+	}
+	if allowed && usesBudget && replacement == nil {
+		allowed = r.Budget.TakeRetry(r.req.Pool)
+	}
+	klog.InfoS("attempt failed", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream, "end", end.String(),
+		"reason", fmt.Sprint(err), "tries", r.tries, "runs", r.runs, "left_ms", r.timeLeft(), "again", allowed)
+	r.metrics.countFailedAttempt(end)
+	return allowed
+}
+
 func (r *requestState) timeLeft() clock.Millis { return r.req.Deadline - r.Clock.Now() }
 
 // resolveFailure returns the refusal for a request that failed with err, or writes the
--- a/daemon/forwarder/watch_test.go
+++ b/daemon/forwarder/watch_test.go
@@ -218,6 +218,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = res.Body.Close() }()
 	started := time.Now()
 	sender.Discard(res, chunkBytes, discardTimeout)
 	if took := time.Since(started); took > 10*discardTimeout.Duration() {
--- a/daemon/queuer/queuer.go
+++ b/daemon/queuer/queuer.go
@@ -21,11 +21,16 @@
 	LatestStart clock.Millis
 	// Cost is the expected use of a slot, above 0, in the same unit for all
 	// entries.
-	Cost  float64
+	Cost float64
+	// Kind groups entries across tiers and organisations for HeadOfKind.
+	Kind  string
 	Value T
 
 	// sequence is the order of arrival.
 	sequence uint64
+	// kindIndex and memberIndex are the indexes in the heaps of byKind and
+	// byOrganisation, -1 outside.
+	kindIndex, memberIndex int
 	// Indexes in the heaps, -1 outside.
 	organisationIndex, deadlineIndex, startIndex int
 	skipped                                      bool
@@ -68,6 +73,9 @@
 	length       int
 	nextSequence uint64
 	skipped      []*Entry[T]
+	// byKind and byOrganisation hold all entries of a kind or organisation, those with
+	// the earliest latest start at the top.
+	byKind, byOrganisation map[string]*heap[*Entry[T]]
 }
 
 // Len returns the number of entries.
@@ -97,6 +105,7 @@
 	t := q.tiers[e.Tier]
 	t.byDeadline.push(e)
 	t.byLatestStart.push(e)
+	q.addToGroups(e)
 	if o := q.activate(t, e); len(o.entries.items) == 1 {
 		o.virtualStart = max(o.virtualStart, t.virtualTime)
 		t.active.fix(o)
@@ -161,6 +170,7 @@
 	e.skipped = false
 	t.byDeadline.remove(e)
 	t.byLatestStart.remove(e)
+	q.removeFromGroups(e)
 	q.length--
 	if len(t.byDeadline.items) == 0 {
 		t.virtualTime = 0
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -26,7 +26,8 @@
 		s.refuse(a, ReasonDeadline)
 		return
 	}
-	a.entry = queuer.Entry[*ask]{Organisation: m.Organisation, Cost: max(eval.minTotalMS, 1), Value: a}
+	a.entry = queuer.Entry[*ask]{Organisation: m.Organisation, Kind: m.Route, Cost: max(eval.minTotalMS, 1), Value: a}
+	s.recordOffer(a, eval.minTotalMS)
 	a.assignLane(s.now, eval.minTotalMS, eval.minFirstTokenMS)
 	s.addAsk(a)
 	if !s.enqueue(a) {
--- a/daemon/scheduler/lanes.go
+++ b/daemon/scheduler/lanes.go
@@ -78,7 +78,7 @@
 // enqueue adds an ask to its lane, and may evict another one from a full queue.
 // It returns false, without adding it, if its caller would leave before its turn.
 func (s *State) enqueue(a *ask) bool {
-	if s.waitExceedsPatience(a) {
+	if s.waitExceedsPatience(a) && !s.reachesMinimum(a) {
 		return false
 	}
 	if s.queue.Waiting(a.entry.Tier) == 0 {
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -141,6 +141,7 @@
 // serve an ask without room for it are reserved against later lanes, but not
 // against asks of its own lane.
 func (s *State) dispatch() {
+	s.dispatchStarved()
 	defer s.queue.RestoreSkipped()
 	var reserved, reservedInLane uint64
 	lane := 0
@@ -195,6 +196,7 @@
 		u.straggler.StartProbe(s.now)
 	}
 	s.occupySlot(a, u)
+	s.recordService(a)
 	s.shares.recordGrant(a)
 	s.pace.recordGrant(s.now, a.entry.Tier)
 	s.index.Store(a.PrefixHashes, u.bit)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -4,6 +4,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/estimator"
+	"yuccaspread/daemon/guarantor"
 	"yuccaspread/daemon/placer"
 	"yuccaspread/daemon/queuer"
 )
@@ -36,6 +37,9 @@
 	// asks holds every waiting or running ask.
 	asks  map[AskID]*ask
 	queue queuer.Queue[*ask]
+	// guarantor names the kinds of requests and the organisations that get less than
+	// their minimum.
+	guarantor guarantor.Guarantor
 	// unconfirmed holds the grants to check for expiry, in order of expiry.
 	unconfirmed []*ask
 
@@ -141,6 +145,7 @@
 		s.region.handleReport(s.now, m)
 	case Tick:
 		s.checkUpstreams()
+		s.guarantor.Refresh(s.now)
 	}
 }
 
@@ -149,6 +154,7 @@
 	s.limits = m.Limits.WithDefaults()
 	s.queue.Weights = m.Weights
 	s.queue.Capacity = s.limits.QueuePerShard
+	s.guarantor.Floor, s.guarantor.CheapShare = s.limits.KindFloor, s.limits.CheapKindShare
 	s.firstTokenTargetMS = 0
 	s.tokenGapTargetMS = 0
 	for _, t := range m.Tiers {
--- a/replayer/checker/checker.go
+++ b/replayer/checker/checker.go
@@ -35,6 +35,7 @@
 	WastedPrefill  Kind = "wasted_prefill"
 	Speed          Kind = "speed"
 	Promises       Kind = "promises"
+	Minimum        Kind = "minimum"
 )
 
 // Miss is one missed outcome.
@@ -50,6 +51,10 @@
 	addMiss := func(kind Kind, format string, args ...any) {
 		misses = append(misses, Miss{kind, fmt.Sprintf(format, args...)})
 	}
+	if scenario == "minimum" {
+		checkMinimum(own, addMiss)
+		return misses
+	}
 	if own.TierInversions > 0 {
 		addMiss(TierInversions, "%d tier inversions", own.TierInversions)
 	}
@@ -76,6 +81,36 @@
 	return misses
 }
 
+// Bounds of the minimum scenario, in hundredths, as the users' rules set them.
+const (
+	// minServedPercent is the part of the mean rate of service that each tier gets.
+	minServedPercent = 25
+	// maxInversionPercent is by how much more often a tier may be served than a more
+	// important one.
+	maxInversionPercent = 5
+)
+
+// checkMinimum requires that no tier is starved, and that none is served more often than
+// a more important one.
+func checkMinimum(own runner.Result, addMiss func(Kind, string, ...any)) {
+	offered := 0
+	for _, tier := range own.Tiers {
+		offered += tier.Offered
+	}
+	mean := 100 * own.OnTime() / max(offered, 1)
+	before := 100
+	for rank, tier := range own.Tiers {
+		served := 100 * tier.OnTime / max(tier.Offered, 1)
+		if 100*served < minServedPercent*mean {
+			addMiss(Minimum, "tier %d: %d %% served, %d %% of all", rank, served, mean)
+		}
+		if served > before+maxInversionPercent {
+			addMiss(Minimum, "tier %d: %d %% served, %d %% of the tier before", rank, served, before)
+		}
+		before = served
+	}
+}
+
 // checkPromises requires that covered tiers get their first tokens as promised, and
 // that no other policy keeps more promises or gives a higher total value.
 func checkPromises(own runner.Result, baselines []runner.Result, addMiss func(Kind, string, ...any)) {
--- a/replayer/generator/generator.go
+++ b/replayer/generator/generator.go
@@ -64,7 +64,7 @@
 
 // Names returns the names of the scenarios.
 func Names() []string {
-	return []string{"steady", "burst", "straggler", "mixed", "crowd", "stale", "lost_upstreams", "zeltfest", "directorate", "promises"}
+	return []string{"steady", "burst", "straggler", "mixed", "crowd", "stale", "lost_upstreams", "zeltfest", "directorate", "promises", "minimum"}
 }
 
 // Generate generates the trace of a scenario; equal seeds give equal traces.
--- a/replayer/generator/scenarios.go
+++ b/replayer/generator/scenarios.go
@@ -41,6 +41,8 @@
 		return directorate(), true
 	case "promises":
 		return promises(), true
+	case "minimum":
+		return minimum(), true
 	default:
 		return s, false
 	}
@@ -169,6 +171,20 @@
 	return s
 }
 
+// minimum has long requests of two important tiers, which need three times the slots
+// that there are, and many short ones of the last tier, which need a twentieth of them.
+func minimum() scenario {
+	s := promises()
+	s.classes = []class{
+		{route: "letter", pool: modelPool, tier: 0, weight: 0.2, promptTokens: 6600, outputTokens: 384, lengthSigma: 0.5, timeout: 12 * clock.Second, objective: 800, patience: 3200, idempotent: true},
+		{route: "chat", pool: modelPool, tier: 1, weight: 0.45, promptTokens: 630, outputTokens: 288, lengthSigma: 0.5, timeout: 12 * clock.Second, objective: 400, patience: 3200, idempotent: true},
+		{route: "label", pool: modelPool, tier: 2, weight: 0.35, promptTokens: 1800, outputTokens: 24, lengthSigma: 0.5, timeout: 3 * clock.Second, objective: 500, patience: 2800, idempotent: true},
+	}
+	s.header.KindFloor, s.header.CheapKindShare = 0.3, 0.06
+	s.duration, s.requestsPerSecond, s.rateFactor = 30*clock.Second, 80, nil
+	return s
+}
+
 // zeltfest models the registration for a festival in three regions. Demand doubles
 // within two minutes when rain begins.
 func zeltfest() scenario {
--- a/replayer/parser/parser.go
+++ b/replayer/parser/parser.go
@@ -42,6 +42,9 @@
 	HealthAgeMS clock.Millis     `json:"health_age_ms"`
 	Tiers       []inventory.Tier `json:"tiers"`
 	Weights     map[string]int   `json:"weights"`
+	// KindFloor and CheapKindShare are the limits of the same names.
+	KindFloor      float64 `json:"kind_floor,omitempty"`
+	CheapKindShare float64 `json:"cheap_kind_share,omitempty"`
 }
 
 // Upstream is one engine of the trace.
--- a/replayer/selector/scheduled.go
+++ b/replayer/selector/scheduled.go
@@ -26,7 +26,10 @@
 			Name: u.Name, Pool: u.Pool, Region: u.Region, Generation: u.Generation, Slots: u.Slots,
 		})
 	}
-	p.state.Update(0, scheduler.Rules{Tiers: head.Tiers, Weights: head.Weights})
+	p.state.Update(0, scheduler.Rules{
+		Tiers: head.Tiers, Weights: head.Weights,
+		Limits: inventory.Limits{KindFloor: head.KindFloor, CheapKindShare: head.CheapKindShare},
+	})
 	p.state.Update(0, scheduler.Upstreams{List: list})
 	return p
 }
--- a/replayer/selector/selector.go
+++ b/replayer/selector/selector.go
@@ -62,6 +62,8 @@
 	// DeadlinesOnly is the daemons' scheduler that gets the deadlines alone, without
 	// the promised first tokens and the times at which callers leave.
 	DeadlinesOnly = "deadlines"
+	// StrictOrder is the daemons' scheduler without a minimum for any kind of request.
+	StrictOrder = "strict_order"
 )
 
 // Names returns the names of the policies that are compared in all scenarios, the
@@ -72,10 +74,14 @@
 
 // NamesFor returns the names of the policies that are compared in a scenario.
 func NamesFor(scenario string) []string {
-	if scenario == "promises" {
+	switch scenario {
+	case "promises":
 		return append(Names(), DeadlinesOnly)
+	case "minimum":
+		return append(Names(), StrictOrder)
+	default:
+		return Names()
 	}
-	return Names()
 }
 
 // New returns the named policy for the upstreams of one shard.
@@ -87,6 +93,9 @@
 		p := newSchedulerPolicy(head, upstreams)
 		p.deadlinesOnly = true
 		return p, nil
+	case StrictOrder:
+		head.KindFloor, head.CheapKindShare = 0, 0
+		return newSchedulerPolicy(head, upstreams), nil
 	case RoundRobin:
 		return &roundRobin{baseline: newBaseline(upstreams)}, nil
 	case LeastLoaded:
