--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -37,7 +37,7 @@
 	// another region.
 	farPeerEvery = 3
 	// notifiedPeers is the number of peers that Notify calls.
-	notifiedPeers = 3
+	notifiedPeers = 4
 	// smallTableRows is the size up to which a table is sent whole to each peer that
 	// may lack a removal. A larger table is sent whole only to peers that request it,
 	// since most learn what they lack from the next peer.
