--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -4,10 +4,8 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"log"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -26,7 +24,6 @@
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
 	"yuccaspread/daemon/retirer"
-	"yuccaspread/daemon/throttler"
 	"yuccaspread/daemon/tuner"
 )
 
@@ -202,21 +199,6 @@
 	})
 }
 
-// newThrottledLog returns a logger with a bounded rate, for messages that
-// callers or other daemons can cause at any rate.
-func newThrottledLog() *log.Logger {
-	return log.New(throttler.New(klogWriter{}), "", 0)
-}
-
-// klogWriter is an io.Writer that logs each Write as one message.
-type klogWriter struct{}
-
-// Write implements io.Writer.
-func (klogWriter) Write(line []byte) (n int, err error) {
-	klog.InfoS(strings.TrimSpace(string(line)))
-	return len(line), nil
-}
-
 func serveOn(server *http.Server, socket net.Listener) {
 	if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
 		klog.ErrorS(err, "HTTP server failed; the address is no longer served")
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -48,6 +48,7 @@
 	logOutput := logger.NewBounded(os.Stdout)
 	defer logOutput.Close()
 	logger.Setup(logOutput, "yuccaspread", s.Verbose)
+	redirectStandardLog()
 	modules := duties(s)
 	if s.Hosted != nil {
 		modules = hostedDuties(s)
