--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,14 +22,15 @@
 // all rows have to be listed again.
 var ErrHistoryDropped = errors.New("register no longer has the requested changes")
 
-// Register reads the rows. Each call has a deadline of its own.
+// Register reads the rows.
 type Register interface {
-	// List returns all rows of a table and the version as of which they were read.
+	// List returns all rows of a table and the version as of which they were read. It
+	// bounds the time of each reply itself.
 	List(ctx context.Context, table string) (rows []Row, version int64, err error)
 	// Changes returns the rows that changed after a version and the version up to
 	// which these are all changes. If there are none, it blocks for at most wait and
-	// then returns no rows. The error wraps ErrHistoryDropped if the register no
-	// longer has the changes since that version.
+	// then returns no rows. ctx bounds the time of the reply. The error wraps
+	// ErrHistoryDropped if the register no longer has the changes since that version.
 	Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rows []Row, version int64, err error)
 }
 
@@ -51,8 +53,8 @@
 
 // Timing of the calls to the register and to peers.
 const (
-	// changesWait is how long one call waits for changes. A connection that no
-	// longer answers is noticed only after it; peers send the changes meanwhile.
+	// changesWait is how long one call of a reader waits for changes. A connection that
+	// no longer answers is noticed after it, or when a peer knows more.
 	changesWait = 12 * clock.Second
 	// probeWait is the wait of the call after a failed one. It is short, so that
 	// the recovery of the register is noticed at once and not only with the next
@@ -71,6 +73,9 @@
 	// idleCheckInterval is the time between two checks whether a daemon that
 	// doesn't read the register has to.
 	idleCheckInterval = 300 * clock.Millisecond
+	// callCheckInterval is the time between two checks whether a call that waits for
+	// changes has to end before its time.
+	callCheckInterval = 200 * clock.Millisecond
 )
 
 // positionUnlisted is the position of a table whose rows have to be listed.
@@ -85,10 +90,12 @@
 	Clock    clock.Clock
 	// Peers exchanges rows with other daemons; nil for none.
 	Peers Peers
-	// ReadsRegister reports whether this daemon reads the register once it knows a
-	// configuration; nil means always. A daemon that doesn't read it learns changes
-	// from its peers.
-	ReadsRegister func() bool
+	// Duty returns this daemon's part in reading the register once it knows a
+	// configuration; nil means that of a reader.
+	Duty func() Duty
+	// ApplyBound is the time within which an acknowledged change has to be in force on
+	// all daemons; 0 for no bound. Calls of a lead are given up within it.
+	ApplyBound clock.Millis
 	// Registerer registers the metrics; nil for none.
 	Registerer prometheus.Registerer
 
@@ -106,6 +113,8 @@
 	decodedUpstreams map[string]decodedUpstream
 	// unavailable records, by table, whether the last call to the register failed.
 	unavailable map[string]bool
+	// freshness records, by table, how current the known rows are.
+	freshness map[string]*freshness
 	// withheldReplies counts, by table, the consecutive replies without rows from
 	// peers that know newer changes. Such a peer doesn't know which rows were removed,
 	// or holds lapsed rows.
@@ -144,8 +153,9 @@
 	f.replica.Equivalent = f.equivalentRows
 	f.decodedUpstreams = map[string]decodedUpstream{}
 	f.unavailable = map[string]bool{}
+	f.freshness = map[string]*freshness{f.Tables.Config: {}, f.Tables.Upstreams: {}}
 	f.withheldReplies = map[string]int{}
-	f.metrics.init(f.Registerer)
+	f.metrics.init(f.Registerer, []string{f.Tables.Config, f.Tables.Upstreams}, f.confirmedAge)
 }
 
 // Run replicates the register until ctx ends.
@@ -177,34 +187,67 @@
 // followTable reads one table until ctx ends.
 func (f *Follower) followTable(ctx context.Context, table string) {
 	position := int64(positionUnlisted)
-	pause, wait := minRetryPause, changesWait
+	pause, failed := minRetryPause, false
 	for ctx.Err() == nil {
-		if !f.shouldRead() {
+		duty := f.duty()
+		if !f.mustRead(table, duty) {
 			clock.Sleep(ctx, idleCheckInterval)
 			position = f.knownPosition(table)
 			continue
 		}
-		next, hasRows, err := f.readOnce(ctx, table, position, wait)
+		timing := newCallTiming(duty.Role, f.ApplyBound)
+		if failed || duty.Role == Idle {
+			timing.wait = probeWait
+		}
+		next, hasRows, err := f.readOnce(ctx, table, position, timing)
 		switch {
 		case err == nil:
-			position, pause, wait = next, minRetryPause, changesWait
+			position, pause, failed = next, minRetryPause, false
 			if hasRows {
 				clock.Sleep(ctx, batchPause)
 			}
 		case errors.Is(err, ErrHistoryDropped) && position != positionUnlisted:
 			klog.InfoS("register no longer has the requested changes; listing all rows", "table", table, "after", position)
 			position = positionUnlisted
+		case errors.Is(err, errRoleChanged):
+			klog.InfoS("reading the register with short waits", "table", table, "after", position)
 		case ctx.Err() == nil:
 			f.handleFailure(table, err)
-			wait = probeWait
+			failed = true
 			clock.Sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxRetryPause)
+			pause = min(2*pause, timing.maxPause)
 		}
 	}
 }
 
-func (f *Follower) shouldRead() bool {
-	return f.ReadsRegister == nil || !f.Ready() || f.ReadsRegister()
+func (f *Follower) duty() (d Duty) {
+	if f.Duty == nil {
+		return d
+	}
+	return f.Duty()
+}
+
+// mustRead reports whether this daemon has to read a table of the register now.
+func (f *Follower) mustRead(table string, duty Duty) bool {
+	if duty.Role != Idle || !f.Ready() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	overdue := f.freshness[table].isOverdue(f.Clock.Now(), duty)
+	if overdue && !f.unavailable[table] {
+		klog.InfoS("no peer has confirmed the known rows for too long; reading the register", "table", table,
+			"confirmed_ms_ago", f.Clock.Now()-f.freshness[table].confirmedAt, "version", f.replica.CompleteVersion(table))
+	}
+	return overdue
+}
+
+// confirmedAge returns the age of the last confirmation that the rows of a table are
+// current.
+func (f *Follower) confirmedAge(table string) clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Clock.Now() - f.freshness[table].confirmedAt
 }
 
 // knownPosition returns the version from which changes of a table have to be read,
@@ -218,20 +261,21 @@
 	return positionUnlisted
 }
 
-// readOnce makes one call to the register, which waits for changes for at most
-// wait, and applies the rows. It returns the next position.
-func (f *Follower) readOnce(ctx context.Context, table string, position int64, wait clock.Millis) (next int64, hasRows bool, err error) {
+// readOnce makes one call to the register and applies the rows. It returns the next
+// position.
+func (f *Follower) readOnce(ctx context.Context, table string, position int64, timing callTiming) (next int64, hasRows bool, err error) {
 	var rows []Row
 	if position == positionUnlisted {
 		rows, next, err = f.Register.List(ctx, table)
 	} else {
-		rows, next, err = f.Register.Changes(ctx, table, position, wait)
+		rows, next, err = f.waitForChanges(ctx, table, position, timing)
 	}
 	if err != nil {
 		return 0, false, err
 	}
 	f.mu.Lock()
 	f.lapses.noteSuccess(f.Clock.Now())
+	f.freshness[table].confirm(f.Clock.Now())
 	if f.unavailable[table] {
 		f.unavailable[table] = false
 		klog.InfoS("register answers again; reading continues", "table", table, "version", next)
@@ -251,6 +295,36 @@
 	return next, len(rows) > 0, nil
 }
 
+// waitForChanges calls the register for changes. It ends the call once the daemon's duty
+// or what peers know shows that it must not wait on.
+func (f *Follower) waitForChanges(ctx context.Context, table string, position int64, timing callTiming) (rows []Row, version int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, (timing.wait + timing.margin).Duration())
+	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	call := openCall{table: table, startedAt: f.Clock.Now(), timing: timing}
+	go f.supervise(ctx, call, end)
+	rows, version, err = f.Register.Changes(ctx, table, position, timing.wait)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = fmt.Errorf("%w (%w)", cause, err)
+	}
+	return rows, version, err
+}
+
+// supervise ends a call that must not wait on, until ctx ends.
+func (f *Follower) supervise(ctx context.Context, call openCall, end context.CancelCauseFunc) {
+	for clock.Sleep(ctx, callCheckInterval) {
+		duty := f.duty()
+		f.mu.Lock()
+		reason := f.freshness[call.table].endReason(f.Clock.Now(), call, duty, f.ApplyBound)
+		f.mu.Unlock()
+		if reason != nil {
+			end(reason)
+			return
+		}
+	}
+}
+
 func (f *Follower) handleFailure(table string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/daemon/follower/metrics.go
+++ b/daemon/follower/metrics.go
@@ -1,20 +1,33 @@
 package follower
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"yuccaspread/common/clock"
+)
 
 type metrics struct {
 	revision prometheus.Gauge
 	failures prometheus.Counter
 }
 
-func (m *metrics) init(registerer prometheus.Registerer) {
+// init creates the metrics. confirmedAge returns the age of the last confirmation of a
+// table.
+func (m *metrics) init(registerer prometheus.Registerer, tables []string, confirmedAge func(table string) clock.Millis) {
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "yuccaspread_followed_revision", Help: "Revision of the followed configuration that is in force.",
 	})
 	m.failures = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "yuccaspread_register_failures_total", Help: "Calls to the followed register that failed.",
 	})
-	if registerer != nil {
-		registerer.MustRegister(m.revision, m.failures)
+	if registerer == nil {
+		return
+	}
+	registerer.MustRegister(m.revision, m.failures)
+	for _, table := range tables {
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "yuccaspread_register_confirmed_age_seconds", ConstLabels: prometheus.Labels{"table": table},
+			Help: "Age of the last confirmation, by the register or a peer, that the known rows are current.",
+		}, func() float64 { return confirmedAge(table).Duration().Seconds() }))
 	}
 }
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -72,37 +73,84 @@
 	// readerCount is the number of daemons that read. With a third of all daemons
 	// cut off from the register, the chance that all readers are is 1 in 60,000.
 	readerCount = 10
+	// leadCount is the number of readers that wait briefly. The second one covers for
+	// the first until the fleet notices that it is gone.
+	leadCount = 2
 	// isolationTimeout is the time without a reply of any peer after which a daemon
 	// reads the register itself.
 	isolationTimeout = 1500 * clock.Millisecond
+	// confirmationRounds is the number of syncs, beyond the binary logarithm of the
+	// fleet's size, within which a confirmation reaches every daemon.
+	confirmationRounds = 3
+	// overdueSpread is the time over which daemons of a large fleet start to read by
+	// themselves, each after overdueSpacing more than another on average, so that the
+	// first can tell the others.
+	overdueSpread  = 2 * clock.Second
+	overdueSpacing = 20 * clock.Millisecond
 )
 
-// ReadsRegister reports whether this daemon reads the register: it is one of the
-// readerCount alive members with the highest hash of the name, or no peer has
-// answered for isolationTimeout. Daemons with the same members choose the same
-// readers.
-func (x *Exchanger) ReadsRegister() bool {
-	members := x.View.Members()
-	var names []string
-	for _, m := range members {
+// Duty returns the part of this daemon in reading the register: the readers are the
+// readerCount alive members with the highest hash of the name, and the leads the first
+// of them, in different failure domains. A daemon that no peer has answered for
+// isolationTimeout reads too. Daemons with the same members choose the same readers.
+func (x *Exchanger) Duty() (d Duty) {
+	var alive []gossiper.Member
+	for _, m := range x.View.Members() {
 		if m.State == gossiper.Alive {
-			names = append(names, m.Name)
+			alive = append(alive, m)
 		}
 	}
 	x.mu.Lock()
 	lastReplyAt := x.lastReplyAt
 	x.mu.Unlock()
-	if len(names) <= readerCount || x.Follower.Clock.Now()-lastReplyAt > isolationTimeout {
-		return true
+	self := x.View.Self()
+	if x.Follower.Clock.Now()-lastReplyAt > isolationTimeout {
+		return Duty{Role: Lead}
+	}
+	d.MaxAge = maxConfirmationAge(len(alive), x.Follower.ApplyBound)
+	d.MaxAge += overdueDelay(self.Name, len(alive))
+	slices.SortFunc(alive, func(a, b gossiper.Member) int {
+		return cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name))
+	})
+	rank := slices.IndexFunc(alive, func(m gossiper.Member) bool { return m.Name == self.Name })
+	switch {
+	case slices.Contains(leads(alive), self.Name):
+		d.Role = Lead
+	case rank >= readerCount:
+		d.Role = Idle
+	}
+	return d
+}
+
+// leads returns the names of the leads among members in the order of their ranks.
+func leads(members []gossiper.Member) (names []string) {
+	domains := map[string]bool{}
+	for _, m := range members[:min(len(members), readerCount)] {
+		if len(names) < leadCount && !domains[m.FailureDomain] {
+			names = append(names, m.Name)
+			domains[m.FailureDomain] = true
+		}
 	}
-	self := x.View.Self().Name
-	own, higher := xxhash.Sum64String(self), 0
-	for _, name := range names {
-		if name != self && xxhash.Sum64String(name) > own {
-			higher++
+	for _, m := range members {
+		if len(names) < leadCount && !slices.Contains(names, m.Name) {
+			names = append(names, m.Name)
 		}
 	}
-	return higher < readerCount
+	return names
+}
+
+// maxConfirmationAge returns the age that a confirmation may have in a fleet whose leads
+// reach the register.
+func maxConfirmationAge(members int, applyBound clock.Millis) clock.Millis {
+	timing := newCallTiming(Lead, applyBound)
+	rounds := clock.Millis(confirmationRounds + bits.Len(uint(members)))
+	return timing.wait + timing.margin + rounds*syncInterval
+}
+
+// overdueDelay returns how much longer than others a daemon waits for a confirmation.
+func overdueDelay(name string, members int) clock.Millis {
+	spread := min(clock.Millis(members)*overdueSpacing, overdueSpread)
+	return clock.Millis(xxhash.Sum64String(name) % uint64(spread+1))
 }
 
 // SyncOne implements Peers.
@@ -152,6 +200,7 @@
 // the rows that this daemon lacks.
 func (x *Exchanger) notifyPeer(ctx context.Context, address string) {
 	reply, err := x.call(ctx, address, syncTimeout, &wire.SyncRequest{Have: x.Follower.knownVersions(), OnlyTells: true})
+	x.Follower.noteConfirmations(reply.GetHave())
 	if err == nil && x.Follower.isBehind(reply.GetHave()) {
 		x.fetch(ctx, address)
 	}
@@ -173,7 +222,9 @@
 		if err != nil {
 			continue
 		}
-		if x.Follower.applyReply(reply, address) {
+		changed := x.Follower.applyReply(reply, address)
+		x.Follower.noteConfirmations(reply.GetHave())
+		if changed {
 			x.Notify(context.WithoutCancel(ctx))
 		}
 		if len(reply.GetRows()) >= maxReplyRows && len(reply.GetWhole()) == 0 {
@@ -244,6 +295,7 @@
 // Sync implements wire.DRPCFollowServer.
 func (s *server) Sync(ctx context.Context, in *wire.SyncRequest) (out *wire.SyncReply, err error) {
 	x := (*Exchanger)(s)
+	x.Follower.noteConfirmations(in.GetHave())
 	if x.Follower.isBehind(in.GetHave()) && in.GetPeerListen() != "" {
 		go x.fetch(context.WithoutCancel(ctx), in.GetPeerListen())
 	}
@@ -260,11 +312,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
-		have = append(have, &wire.TableVersion{Table: table, Version: f.settledVersion(table)})
+		have = append(have, &wire.TableVersion{Table: table, Version: f.settledVersion(table), ConfirmedMsAgo: f.confirmedMSAgo(table)})
 	}
 	return have
 }
 
+// confirmedMSAgo returns the age of the confirmation that peers may rely on: none
+// while lapsed rows are held, because those are not sent. It is called with mu held.
+func (f *Follower) confirmedMSAgo(table string) int64 {
+	confirmedAt := f.freshness[table].confirmedAt
+	if confirmedAt == 0 || f.settledVersion(table) < f.replica.NewestVersion(table) {
+		return 0
+	}
+	return int64(max(f.Clock.Now()-confirmedAt, 1))
+}
+
+// noteConfirmations takes over what a peer states of the age of its rows, for the tables
+// of which it knows no newer change.
+func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion) {
+	f.setup()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range peerVersions {
+		known, followed := f.freshness[v.GetTable()]
+		if followed && v.GetConfirmedMsAgo() > 0 && v.GetVersion() <= f.settledVersion(v.GetTable()) {
+			known.confirm(f.Clock.Now() - clock.Millis(v.GetConfirmedMsAgo()))
+		}
+	}
+}
+
 // settledVersion returns the version up to which all rows of a table may be sent to
 // peers: a row that may only have lapsed is not sent as removed. It is called with
 // mu held.
@@ -320,7 +396,7 @@
 			rows = rows[:maxReplyRows]
 			for _, h := range have {
 				if h.GetTable() == v.GetTable() {
-					h.Version = rows[maxReplyRows-1].Version
+					h.Version, h.ConfirmedMsAgo = rows[maxReplyRows-1].Version, 0
 				}
 			}
 		}
@@ -390,6 +466,9 @@
 		}
 		f.withheldReplies[table] = 0
 	}
+	for _, c := range changes {
+		f.freshness[c.Table].newsAt = f.Clock.Now()
+	}
 	f.applyChanges(changes, peer)
 	return len(changes) > 0
 }
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -13,7 +13,7 @@
 
 // newIdleFollower returns a follower of table t that does not run.
 func newIdleFollower() *Follower {
-	f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "t"}}
+	f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "t"}, Clock: &manualClock{}}
 	f.setup()
 	f.replica.Equivalent = sameContent
 	return f
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -94,7 +94,7 @@
 		},
 	}
 	peers := &follower.Exchanger{Follower: f, View: params.Gossiper, Connector: params.Connector}
-	f.Peers, f.ReadsRegister = peers, peers.ReadsRegister
+	f.Peers, f.Duty, f.ApplyBound = peers, peers.Duty, hosted.ConfigApplyMS
 	return followerResult{
 		Follower: f, Source: f, ConfigSource: f, Service: peers.Register,
 		Seeds: params.File.Seeds,
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -60,6 +60,9 @@
 	// AddressLifetimeMS is how long callers may cache a list of addresses, in
 	// milliseconds.
 	AddressLifetimeMS clock.Millis `toml:"address_lifetime_ms" validate:"gt=0"`
+	// ConfigApplyMS is the time within which an acknowledged change of the configuration
+	// has to be in force on all daemons, in milliseconds; 0 for no bound.
+	ConfigApplyMS clock.Millis `toml:"config_apply_ms" validate:"omitempty,gte=1000"`
 	// RetryShare is the number of retries that the fleet may make per request,
 	// RetryExtra the number that it may make in addition per window of the
 	// forwarder's budget.
