--- /dev/null
+++ b/daemon/attributor/attributor.go
@@ -0,0 +1,71 @@
+package attributor
+
+import (
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+)
+
+// Attributor runs a Core for all requests of this daemon. It is safe for concurrent use.
+// Its exported fields are set before use.
+type Attributor struct {
+	Clock  clock.Clock
+	Source inventory.Source
+	// Spread sends reports to other daemons without blocking; nil if there are none.
+	Spread func([]Report)
+
+	mu   sync.Mutex
+	core Core
+}
+
+// BlockedFor returns for how long requests with any of the keys are refused, 0 if they are
+// not.
+func (a *Attributor) BlockedFor(keys []uint64) clock.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	return max(a.core.BlockedUntil(now, keys)-now, 0)
+}
+
+// UpstreamCrashed reports that an upstream crashed while a request with the keys was
+// running.
+func (a *Attributor) UpstreamCrashed(upstream string, request uint64, keys []uint64) {
+	a.step(Crashed{Keys: keys, Request: request, Upstream: upstream})
+}
+
+// RequestCompleted reports that a request with the keys was completed.
+func (a *Attributor) RequestCompleted(keys []uint64) { a.step(Completed{Keys: keys}) }
+
+// HandleReports takes over reports of another daemon.
+func (a *Attributor) HandleReports(reports []Report) { a.step(Received{Reports: reports}) }
+
+// Reports returns all reports for other daemons, and their digest.
+func (a *Attributor) Reports() (reports []Report, digest uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Reports()
+}
+
+func (a *Attributor) step(message Message) {
+	a.mu.Lock()
+	a.core.Retention = a.Source.Current().Limits.WithDefaults().QuarantineMS
+	now := a.Clock.Now()
+	effects := a.core.Step(now, message)
+	a.mu.Unlock()
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Spread:
+			if a.Spread != nil {
+				a.Spread(e.Reports)
+			}
+		case Blocked:
+			klog.InfoS("requests with these keys crash upstreams; refusing them", "keys", e.Block.Keys,
+				"for_ms", e.Block.Until-now, "upstreams", e.Block.Upstreams)
+		case Unblocked:
+			klog.InfoS("requests with these keys don't explain crashes of upstreams; accepting them", "keys", e.Block.Keys)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/attributor/block.go
@@ -0,0 +1,180 @@
+package attributor
+
+import (
+	"cmp"
+	"slices"
+
+	"yuccaspread/common/clock"
+)
+
+// Block refuses requests with all of its keys. Keys that were running at the same crashes
+// are blocked together, until a request with only some of them is completed or crashes an
+// upstream.
+type Block struct {
+	// Keys are sorted.
+	Keys  []uint64
+	Until clock.Millis
+	// Upstreams are those whose crashes the keys explain, sorted by name.
+	Upstreams []string
+}
+
+func (b *Block) matches(keys []uint64) bool {
+	for _, key := range b.Keys {
+		if !slices.Contains(keys, key) {
+			return false
+		}
+	}
+	return true
+}
+
+// blockEnd returns until when a key is part of a block, 0 for never.
+func (c *Core) blockEnd(key uint64) (until clock.Millis) {
+	for _, b := range c.blocks {
+		if slices.Contains(b.Keys, key) {
+			until = max(until, b.Until)
+		}
+	}
+	return until
+}
+
+// updateBlocks attributes the crashes to keys anew and tells what changed.
+func (c *Core) updateBlocks(now clock.Millis) (effects []Effect) {
+	before := c.blocks
+	c.blocks = c.attribute()
+	for _, b := range c.blocks {
+		if b.Until > now && !isBlocked(before, b, now) {
+			effects = append(effects, Blocked{Block: b})
+		}
+	}
+	for _, b := range before {
+		if b.Until > now && !isBlocked(c.blocks, b, now) {
+			effects = append(effects, Unblocked{Block: b})
+		}
+	}
+	return effects
+}
+
+// isBlocked reports whether one of the blocks has the same keys as another and is in force.
+func isBlocked(blocks []Block, other Block, now clock.Millis) bool {
+	return slices.ContainsFunc(blocks, func(b Block) bool { return b.Until > now && slices.Equal(b.Keys, other.Keys) })
+}
+
+// suspicion is what the crashes that no block explains yet say about a key.
+type suspicion struct {
+	// crashes counts the crashes at different times; first and last are when the first and
+	// the last of these were.
+	crashes     int
+	first, last clock.Millis
+	upstreams   []string
+}
+
+// attribute returns the blocks that follow from the reports: the parts that explain most
+// crashes first, then the single requests that explain the others.
+func (c *Core) attribute() (blocks []Block) {
+	var parts, requests []uint64
+	for key, list := range c.reports {
+		switch {
+		case !mayBlock(list):
+		case list[0].isOfRequest():
+			requests = append(requests, key)
+		default:
+			parts = append(parts, key)
+		}
+	}
+	explained := map[string]bool{}
+	for _, keys := range [][]uint64{parts, requests} {
+		// The same order at all daemons leads to the same blocks.
+		slices.Sort(keys)
+		for {
+			block, found := c.nextBlock(keys, explained)
+			if !found {
+				break
+			}
+			for _, upstream := range block.Upstreams {
+				explained[upstream] = true
+			}
+			blocks = append(blocks, block)
+		}
+	}
+	return blocks
+}
+
+// mayBlock reports whether a key has enough reports to be blocked.
+func mayBlock(list []Report) bool {
+	valid := 0
+	for _, r := range list {
+		if !r.Void {
+			valid++
+		}
+	}
+	return valid >= blockingCrashes
+}
+
+// nextBlock returns the block of the keys that explain most of the crashes that are not
+// explained.
+func (c *Core) nextBlock(keys []uint64, explained map[string]bool) (block Block, found bool) {
+	var most suspicion
+	for _, key := range keys {
+		s := c.suspect(key, explained)
+		switch {
+		case s.crashes < blockingCrashes:
+		case len(s.upstreams) > len(most.upstreams):
+			most = s
+			block.Keys = []uint64{key}
+		case slices.Equal(s.upstreams, most.upstreams):
+			block.Keys = append(block.Keys, key)
+		}
+	}
+	if most.crashes == 0 {
+		return block, false
+	}
+	block.Upstreams = most.upstreams
+	block.Until = most.last + c.Retention<<min(most.crashes-blockingCrashes, maxDoublings)
+	return block, true
+}
+
+// suspect returns what the crashes that are not explained say about a key.
+func (c *Core) suspect(key uint64, explained map[string]bool) (s suspicion) {
+	var requests []uint64
+	for _, r := range c.reports[key] {
+		if r.Void || explained[r.Upstream] {
+			continue
+		}
+		if s.crashes == 0 {
+			s.first = r.At
+		}
+		if s.crashes == 0 || r.At-s.last >= minCrashGap {
+			s.crashes++
+			s.last = r.At
+		}
+		s.upstreams = append(s.upstreams, r.Upstream)
+		if !slices.Contains(requests, r.Request) {
+			requests = append(requests, r.Request)
+		}
+	}
+	if len(requests) < blockingRequests && !slices.Contains(requests, key) {
+		return suspicion{}
+	}
+	if float64(s.crashes) < minExplainedShare*float64(c.crashesBetween(s.first, s.last, explained)) {
+		return suspicion{}
+	}
+	slices.SortFunc(s.upstreams, cmp.Compare)
+	return s
+}
+
+// crashesBetween returns the number of crashes at different times between two moments that
+// are not explained.
+func (c *Core) crashesBetween(first, last clock.Millis, explained map[string]bool) (count int) {
+	previous := first - minCrashGap
+	index, _ := slices.BinarySearchFunc(c.crashes, first, func(k crash, at clock.Millis) int { return cmp.Compare(k.at, at) })
+	for _, k := range c.crashes[index:] {
+		if k.at > last {
+			break
+		}
+		if !explained[k.upstream] && k.at-previous >= minCrashGap {
+			count++
+			previous = k.at
+		}
+	}
+	return count
+}
--- a/daemon/classifier/hosts.go
+++ b/daemon/classifier/hosts.go
@@ -83,6 +83,9 @@
 		Method: head.Method, Host: head.Host, Path: head.Path, Header: head.Header, Body: body,
 		Fingerprint: fingerprint(a, head, body),
 	}
+	for _, part := range head.PromptParts {
+		req.PromptParts = append(req.PromptParts, xxhash.Sum64String(pool.Name+"\x00"+part))
+	}
 	if head.Query != "" {
 		req.Path += "?" + head.Query
 	}
--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -48,6 +48,9 @@
 	// PrefixHashes are the hashes of the prompt's leading blocks.
 	PrefixHashes []uint64
 	Fingerprint  uint64
+	// PromptParts are the hashes of the parts that the prompt shares with those of other
+	// requests, where the caller names them.
+	PromptParts []uint64
 
 	// Resumable reports whether another upstream can continue a stream.
 	Resumable bool
@@ -113,4 +116,7 @@
 	MaxTokens      int
 	ExpectedTokens int
 	LastEventID    string
+	// PromptParts are the ids of the parts that the prompt shares with those of other
+	// requests.
+	PromptParts []string
 }
--- /dev/null
+++ b/daemon/forwarder/attribute.go
@@ -0,0 +1,59 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/refuser"
+)
+
+// Attributor remembers which requests crash upstreams, by keys that they have in common.
+type Attributor interface {
+	// BlockedFor returns for how long requests with any of the keys are refused, 0 if
+	// they are not.
+	BlockedFor(keys []uint64) clock.Millis
+	// UpstreamCrashed reports that an upstream crashed while a request with the keys was
+	// running.
+	UpstreamCrashed(upstream string, request uint64, keys []uint64)
+	// RequestCompleted reports that a request with the keys was completed.
+	RequestCompleted(keys []uint64)
+}
+
+// maxBlockedRetryAfter bounds the Retry-After of a request that crashes upstreams. Callers
+// may learn sooner than after the whole time that it is served again.
+const maxBlockedRetryAfter = 10 * clock.Second
+
+// crashKeys returns the keys of a request: its shared parts and the request itself.
+func (r *requestState) crashKeys() []uint64 {
+	return append(slices.Clone(r.req.PromptParts), r.req.Fingerprint)
+}
+
+// refuseIfBlocked returns a refusal if requests like this one crash upstreams.
+func (r *requestState) refuseIfBlocked() error {
+	if r.Attributor == nil {
+		return nil
+	}
+	blocked := r.Attributor.BlockedFor(r.crashKeys())
+	if blocked == 0 {
+		return nil
+	}
+	refusal := refuser.New(http.StatusServiceUnavailable, "quarantined", "requests with this content crash the upstreams that run them")
+	refusal.RetryAfter = min(blocked, maxBlockedRetryAfter)
+	return refusal
+}
+
+// attribute reports an attempt that was completed, or during which the upstream crashed.
+func (r *requestState) attribute(ctx context.Context, upstream inventory.Upstream, end attemptEnd, err error) {
+	if r.Attributor == nil {
+		return
+	}
+	switch {
+	case end == completed && err == nil && r.status/100 == http.StatusOK/100:
+		r.Attributor.RequestCompleted(r.crashKeys())
+	case (end == unanswered || end == broken) && r.connectionBroke && r.Sender.HasCrashed(ctx, upstream.Address):
+		r.Attributor.UpstreamCrashed(upstream.Name, r.req.Fingerprint, r.crashKeys())
+	}
+}
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -32,6 +32,8 @@
 	Sender   *sender.Sender
 	Protocol Protocol
 	Budget   *Budget
+	// Attributor remembers which requests crash upstreams; nil for none.
+	Attributor Attributor
 	// Registerer registers the metrics; nil registers none.
 	Registerer prometheus.Registerer
 
@@ -63,6 +65,9 @@
 	grantedAt clock.Millis
 	// status is the status that the caller got, 0 before that.
 	status int
+	// connectionBroke is set if the connection of the last attempt ended early and not by
+	// this daemon.
+	connectionBroke bool
 }
 
 // Handle implements listener.Handler.
@@ -87,6 +92,9 @@
 func (r *requestState) runAttempts(ctx context.Context) (err error) {
 	var replacement reserver.Slot
 	for {
+		if err = r.refuseIfBlocked(); err != nil {
+			return err
+		}
 		slot := replacement
 		if slot == nil {
 			r.req.LastWriteAt = r.lastWriteAt
@@ -99,6 +107,7 @@
 		var end attemptEnd
 		end, replacement, err = r.attempt(ctx, slot)
 		r.recordAttempt(end)
+		r.attribute(ctx, slot.Upstream(), end, err)
 		if !r.continues(ctx, end, replacement, err) {
 			return err
 		}
@@ -167,7 +176,13 @@
 // another upstream takes over, it returns the slot there.
 func (r *requestState) attempt(ctx context.Context, slot reserver.Slot) (e attemptEnd, replacement reserver.Slot, err error) {
 	usage := reserver.Usage{Outcome: reserver.NotSent, NotRun: true}
-	defer func() { slot.End(usage) }()
+	defer func() {
+		slot.End(usage)
+		r.connectionBroke = usage.Outcome == reserver.ConnectionBroken
+	}()
+	if err = r.refuseIfBlocked(); err != nil {
+		return notSent, nil, err
+	}
 	upstream, found := inventory.Lookup(r.Source.Current().Upstreams, slot.Upstream().Name)
 	if !found || upstream.Leaving || !slot.Confirm() {
 		return notSent, nil, errUpstreamUnavailable
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -15,6 +15,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/reloader"
+	"yuccaspread/daemon/attributor"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/drainer"
 	"yuccaspread/daemon/follower"
@@ -103,13 +104,31 @@
 
 // forwardingDuty sends requests to upstreams.
 func forwardingDuty() fx.Option {
-	return fx.Module("forwarding", fx.Provide(newForwarder))
+	return fx.Module("forwarding",
+		fx.Provide(newAttributor, newForwarder),
+		fx.Invoke(func(l fx.Lifecycle, s *attributor.Spreader) { runDuty(l, s.Run) }),
+	)
+}
+
+type attributorResult struct {
+	fx.Out
+
+	Attributor *attributor.Attributor
+	Spreader   *attributor.Spreader
+	Service    peerService `group:"peer_services"`
+}
+
+func newAttributor(c clock.Clock, source inventory.Source, view gossiper.View, peers *connector.Connector) attributorResult {
+	a := &attributor.Attributor{Clock: c, Source: source}
+	s := &attributor.Spreader{Attributor: a, View: view, Connector: peers, Clock: c}
+	a.Spread = s.Spread
+	return attributorResult{Attributor: a, Spreader: s, Service: s.Register}
 }
 
-func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, registerer prometheus.Registerer) listener.Handler {
+func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, a *attributor.Attributor, registerer prometheus.Registerer) listener.Handler {
 	return &forwarder.Forwarder{
 		Source: source, Clock: c, Reserver: r, Sender: &sender.Sender{}, Protocol: translator.Protocol{},
-		Registerer: registerer,
+		Attributor: a, Registerer: registerer,
 		Budget: &forwarder.Budget{
 			RetriesPerRequest: s.Hosted.RetryShare, ExtraRetries: s.Hosted.RetryExtra,
 			Daemons: func() int { return len(view.Members()) },
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -129,6 +131,36 @@
 	return res, nil
 }
 
+// Limits of the check whether an upstream has crashed.
+const (
+	crashCheckTimeout = 250 * clock.Millisecond
+	// crashCheckPause is how long a connection to a process that is ending may stay open.
+	crashCheckPause = 20 * clock.Millisecond
+)
+
+// HasCrashed reports whether the process at the address of an upstream is gone: its host
+// refuses connections. A host that doesn't answer may only be unreachable.
+func (s *Sender) HasCrashed(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout.Duration())
+	defer cancel()
+	conn, err := tuner.Dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// The connections of a process that ends may be closed before its listening socket.
+	_ = conn.SetReadDeadline(time.Now().Add(crashCheckPause.Duration()))
+	_, err = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	conn, err = tuner.Dialer().DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Abandon closes the body and the connection of an answer, so that data that still
 // arrives on it can't be read as the answer to another request.
 func Abandon(res *http.Response) {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -45,7 +45,7 @@
 	}
 	for _, conf := range s.Workers {
 		router := mux.NewRouter()
-		(&worker.Worker{ID: conf.ID, Slots: conf.Slots, Queue: conf.Queue, WorkTime: conf.WorkMS, Events: conf.Events, EventGap: conf.GapMS}).Register(router)
+		(&worker.Worker{ID: conf.ID, Slots: conf.Slots, Queue: conf.Queue, WorkTime: conf.WorkMS, Events: conf.Events, EventGap: conf.GapMS, Crash: crash}).Register(router)
 		routers[conf.Listen] = router
 	}
 	for _, conf := range s.Engines {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -42,6 +42,9 @@
 	ShedEvery int `json:"shed_every"`
 	// Unhealthy fails health checks with status 503 and affects nothing else.
 	Unhealthy bool `json:"unhealthy"`
+	// CrashPart crashes the process when it would respond to a request whose prompt has
+	// the part with this id.
+	CrashPart string `json:"crash_part"`
 }
 
 // Run records a request that ran on this worker.
@@ -69,6 +72,8 @@
 	// EventGap is the pause between two events.
 	Events   int
 	EventGap clock.Millis
+	// Crash ends the process at once.
+	Crash func()
 
 	once   sync.Once
 	slots  chan struct{}
@@ -205,6 +210,10 @@
 	if !clock.Sleep(r.Context(), v.WorkTime) {
 		return
 	}
+	if faults.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), faults.CrashPart+":") {
+		v.Crash()
+		return
+	}
 	if isEveryNth(index, faults.LoseEvery) {
 		panic(http.ErrAbortHandler)
 	}
