--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -186,12 +186,17 @@
 	return http.NewResponseController(r.w).Flush()
 }
 
-// finishStream is called when the connection of a stream ended without an error.
-// A resumable stream that ended inside an event counts as broken.
+// finishStream is called when the connection of a stream ended without an error. A stream
+// that ended inside an event counts as broken, and so does one without any event that only
+// the end of its connection delimits: both may come from an upstream that ended.
 func (r *requestState) finishStream(res *http.Response, splitter *eventSplitter) (e attemptEnd, err error) {
-	if r.resumable && len(splitter.partial) > 0 {
+	if len(splitter.partial) > 0 {
 		return broken, fmt.Errorf("%w: in the middle of an event", errIncomplete)
 	}
+	delimitedByEnd := res.ContentLength < 0 && len(res.TransferEncoding) == 0
+	if delimitedByEnd && splitter.events == 0 && r.lastEvent == "" {
+		return broken, fmt.Errorf("%w: no event before the connection ended", errIncomplete)
+	}
 	if !r.headWritten {
 		r.writeHead(res.StatusCode, res.Header, -1)
 	}
