--- a/daemon/attributor/attributor.go
+++ b/daemon/attributor/attributor.go
@@ -42,11 +42,12 @@
 // HandleReports takes over reports of another daemon.
 func (a *Attributor) HandleReports(reports []Report) { a.step(Received{Reports: reports}) }
 
-// Reports returns all reports for other daemons, and their digest.
-func (a *Attributor) Reports() (reports []Report, digest uint64) {
+// Reports returns the reports of the blocked keys and of the named ones, and a digest of the
+// former.
+func (a *Attributor) Reports(keys ...uint64) (reports []Report, digest uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.core.Reports()
+	return a.core.Reports(keys...)
 }
 
 func (a *Attributor) step(message Message) {
--- a/daemon/attributor/core.go
+++ b/daemon/attributor/core.go
@@ -169,13 +169,23 @@
 	return until
 }
 
-// Reports returns all reports for other daemons, and their digest.
-func (c *Core) Reports() (reports []Report, digest uint64) {
-	for _, list := range c.reports {
-		reports = append(reports, c.spreadable(list)...)
+// Reports returns the reports of the blocked keys and of the named ones, and a digest of the
+// former. Reports that block nothing travel once, when they are new.
+func (c *Core) Reports(keys ...uint64) (reports []Report, digest uint64) {
+	var blocked []uint64
+	for _, b := range c.blocks {
+		blocked = append(blocked, b.Keys...)
+	}
+	for _, key := range blocked {
+		for _, report := range c.reports[key] {
+			digest ^= report.digest()
+			reports = append(reports, report)
+		}
 	}
-	for _, report := range reports {
-		digest ^= report.digest()
+	for _, key := range keys {
+		if !slices.Contains(blocked, key) {
+			reports = append(reports, c.reports[key]...)
+		}
 	}
 	return reports, digest
 }
--- a/daemon/attributor/spreader.go
+++ b/daemon/attributor/spreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
@@ -19,7 +20,7 @@
 	// them sends it on, so that it reaches a fleet of 350 in five hops.
 	spreadPeers = 4
 	// comparisonInterval is the time between two comparisons with a random daemon, while
-	// there are reports. They reach daemons that missed one.
+	// there are blocks. They reach daemons that missed a report.
 	comparisonInterval = 1 * clock.Second
 	exchangeTimeout    = 800 * clock.Millisecond
 	// maxReports bounds the reports that are taken from one message.
@@ -58,16 +59,16 @@
 	}
 }
 
-// compare exchanges all reports with a daemon that does not have the same.
+// compare exchanges reports with a daemon that does not have the same blocks.
 func (s *Spreader) compare(ctx context.Context, m gossiper.Member) {
 	reports, digest := s.Attributor.Reports()
 	reply, err := s.exchange(ctx, m, &wire.CrashReports{Digest: digest})
-	if err != nil || reply.GetDigest() == digest {
-		return
+	if err == nil && reply.GetDigest() != digest {
+		reply, err = s.exchange(ctx, m, &wire.CrashReports{Digest: digest, Reports: s.toWire(reports)})
+		s.Attributor.HandleReports(s.fromWire(reply.GetReports()))
 	}
-	s.Attributor.HandleReports(s.fromWire(reply.GetReports()))
-	if _, err = s.exchange(ctx, m, &wire.CrashReports{Reports: s.toWire(reports)}); err != nil {
-		klog.V(1).InfoS("reports of crashes not sent; the next comparison brings them", "daemon", m.Name, "error", err.Error())
+	if err != nil {
+		klog.V(1).InfoS("reports of crashes not compared; the next comparison is with another daemon", "daemon", m.Name, "error", err.Error())
 	}
 }
 
@@ -100,16 +101,22 @@
 // Exchange implements wire.DRPCCrashesServer.
 func (s *server) Exchange(_ context.Context, in *wire.CrashReports) (out *wire.CrashReports, err error) {
 	x := (*Spreader)(s)
+	var keys []uint64
 	if len(in.GetReports()) > 0 {
-		x.Attributor.HandleReports(x.fromWire(in.GetReports()))
+		received := x.fromWire(in.GetReports())
+		x.Attributor.HandleReports(received)
+		for _, r := range received {
+			keys = append(keys, r.Key)
+		}
 	}
 	out = &wire.CrashReports{}
 	if in.GetDigest() == 0 {
 		return out, nil
 	}
-	reports, digest := x.Attributor.Reports()
+	slices.Sort(keys)
+	reports, digest := x.Attributor.Reports(slices.Compact(keys)...)
 	out.Digest = digest
-	if digest != in.GetDigest() {
+	if len(keys) > 0 {
 		out.Reports = x.toWire(reports)
 	}
 	return out, nil
--- a/daemon/forwarder/attribute.go
+++ b/daemon/forwarder/attribute.go
@@ -45,15 +45,28 @@
 	return refusal
 }
 
-// attribute reports an attempt that was completed, or during which the upstream crashed.
+// attribute reports an attempt that was completed, or during which the upstream crashed. A
+// crash is known before the request is sent again; a request that is not is not held up.
 func (r *requestState) attribute(ctx context.Context, upstream inventory.Upstream, end attemptEnd, err error) {
 	if r.Attributor == nil {
 		return
 	}
-	switch {
-	case end == completed && err == nil && r.status/100 == http.StatusOK/100:
+	if end == completed && err == nil && r.status/100 == http.StatusOK/100 {
 		r.Attributor.RequestCompleted(r.crashKeys())
-	case (end == unanswered || end == broken) && r.connectionBroke && r.Sender.HasCrashed(ctx, upstream.Address):
+	}
+	if (end != unanswered && end != broken) || !r.connectionBroke {
+		return
+	}
+	if allowed, _ := r.retryAllowed(end); allowed {
+		r.checkCrash(ctx, upstream)
+		return
+	}
+	go r.checkCrash(context.WithoutCancel(ctx), upstream)
+}
+
+// checkCrash reports a crash if the upstream is gone.
+func (r *requestState) checkCrash(ctx context.Context, upstream inventory.Upstream) {
+	if r.Sender.HasCrashed(ctx, upstream.Address) {
 		r.Attributor.UpstreamCrashed(upstream.Name, r.req.Fingerprint, r.crashKeys())
 	}
 }
