Log what upstreams say of themselves: limits, leaving, pauses

No log line or metric could tell whether a limit was heard by one daemon, by all or by none. Nothing is decided by it yet.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -17,6 +17,7 @@
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
 	"yuccaspread/daemon/limiter"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/sharder"
@@ -79,7 +80,8 @@
 	region := view.Self().Region
 	return &reserver.Remote{
 		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
-		Dial: newDialer(view.Self().Name, g, reserver.NewStreamDialer(peers)),
+		Noticer: &noticer.Noticer{Registerer: registerer},
+		Dial:    newDialer(view.Self().Name, g, reserver.NewStreamDialer(peers)),
 		Local: &reserver.Local{
 			Source: source, Clock: c, Daemons: func() int { return a.Current().Daemons(region) },
 		},
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -61,6 +61,9 @@
 // It returns the number of whole events.
 func (r *requestState) handleResponse(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, events int, err error) {
 	info := r.Protocol.ResponseInfo(res.StatusCode, res.Header)
+	if info.isFromUpstream(r.req.ID) {
+		slot.Hear(info.Notice)
+	}
 	success := res.StatusCode/100 == http.StatusOK/100
 	switch {
 	case info.RequestID != "" && info.RequestID != r.req.ID:
--- a/daemon/forwarder/protocol.go
+++ b/daemon/forwarder/protocol.go
@@ -10,6 +10,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 )
 
 // Attempt is one attempt to send a request to an upstream.
@@ -35,11 +36,19 @@
 	NotRun bool
 	// OtherInstance reports whether another process now serves the address.
 	OtherInstance bool
+	// Notice is what the upstream said of itself.
+	Notice noticer.Notice
 	// Running, Waiting and Slots are the upstream's load in requests; Slots is 0 if
 	// the upstream does not report it.
 	Running, Waiting, Slots int
 }
 
+// isFromUpstream reports whether the upstream that got a request sent this answer to it, and
+// neither another process at its address nor a copy of an earlier answer.
+func (i ResponseInfo) isFromUpstream(request string) bool {
+	return !i.OtherInstance && (i.RequestID == "" || i.RequestID == request)
+}
+
 // Protocol writes the request headers and reads the answer headers of the protocol
 // between daemon and upstream.
 type Protocol interface {
--- a/daemon/forwarder/watch_test.go
+++ b/daemon/forwarder/watch_test.go
@@ -16,6 +16,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/sender"
 )
@@ -100,6 +101,7 @@
 
 func (s *fixedSlot) Upstream() inventory.Upstream { return s.upstream }
 func (*fixedSlot) Confirm() bool                  { return true }
+func (*fixedSlot) Hear(noticer.Notice)            {}
 func (*fixedSlot) FirstToken(int)                 {}
 func (s *fixedSlot) End(u reserver.Usage) {
 	s.owner.mu.Lock()
--- /dev/null
+++ b/daemon/noticer/noticer.go
@@ -0,0 +1,89 @@
+// Package noticer keeps what upstreams say of themselves in their answers: the rate of
+// requests that they accept, that they are about to stop, and for how long they want no
+// requests from this daemon.
+package noticer
+
+import (
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/logger"
+)
+
+// Notice is what an upstream said of itself in one answer.
+type Notice struct {
+	// Limited is set if the upstream named a limit, and Limit is the number of requests
+	// per second that it accepts from all daemons together, at least 0.
+	Limited bool
+	Limit   float64
+	// Leaving is set if the upstream is about to stop.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests from this daemon, 0 if it
+	// said nothing of the kind.
+	RetryAfter clock.Millis
+}
+
+// isEmpty reports whether the upstream said nothing of itself.
+func (n Notice) isEmpty() bool { return n == Notice{} }
+
+// Noticer keeps the notices of upstreams. Its exported fields are set before use; it is
+// safe for concurrent use.
+type Noticer struct {
+	// Registerer registers the metrics; nil leaves them unregistered.
+	Registerer prometheus.Registerer
+
+	once    sync.Once
+	notices *prometheus.CounterVec
+
+	mu sync.Mutex
+	// latest holds the last notice of each upstream whose last notice is not empty, by
+	// the name of the upstream.
+	latest map[string]Notice
+}
+
+func (n *Noticer) prepare() {
+	n.once.Do(func() {
+		n.latest = map[string]Notice{}
+		n.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "yuccaspread_upstream_notices_total", Help: "Answers in which upstreams said something of themselves, by what it was.",
+		}, []string{"kind"})
+		if n.Registerer != nil {
+			n.Registerer.MustRegister(n.notices)
+		}
+	})
+}
+
+// Observe records the notice in the answer to a request.
+func (n *Noticer) Observe(request, upstream string, notice Notice) {
+	n.prepare()
+	n.count(notice)
+	n.mu.Lock()
+	before := n.latest[upstream]
+	if notice.isEmpty() {
+		delete(n.latest, upstream)
+	} else {
+		n.latest[upstream] = notice
+	}
+	n.mu.Unlock()
+	if before != notice {
+		klog.InfoS("upstream changed what it says of itself", logger.KeyRequest, request, logger.KeyUpstream, upstream,
+			"limited", notice.Limited, "limit_per_s", notice.Limit, "limited_before", before.Limited, "limit_per_s_before", before.Limit,
+			"leaving", notice.Leaving, "retry_after_ms", notice.RetryAfter)
+	}
+}
+
+// count counts what a notice says.
+func (n *Noticer) count(notice Notice) {
+	if notice.Limited {
+		n.notices.WithLabelValues("limit").Inc()
+	}
+	if notice.Leaving {
+		n.notices.WithLabelValues("leaving").Inc()
+	}
+	if notice.RetryAfter > 0 {
+		n.notices.WithLabelValues("retry_after").Inc()
+	}
+}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -5,6 +5,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 )
 
 // confirmTransit is the time that a confirmation may take to reach the scheduler.
@@ -241,6 +242,11 @@
 // Withdrawn implements Slot.
 func (res *reservation) Withdrawn() <-chan struct{} { return res.withdrawn }
 
+// Hear implements Slot.
+func (res *reservation) Hear(notice noticer.Notice) {
+	res.remote.Noticer.Observe(res.request.ID, res.upstream.Name, notice)
+}
+
 // FirstToken implements Slot.
 func (res *reservation) FirstToken(cachedTokens int) {
 	r := res.remote
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -9,6 +9,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -152,6 +153,9 @@
 // Confirm implements Slot.
 func (s *localSlot) Confirm() bool { return true }
 
+// Hear implements Slot.
+func (s *localSlot) Hear(noticer.Notice) {}
+
 // FirstToken implements Slot.
 func (s *localSlot) FirstToken(int) {}
 
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -18,6 +18,7 @@
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/sharder"
 )
@@ -49,6 +50,8 @@
 	Dial     Dialer
 	// Local serves while a shard's scheduler can't be reached.
 	Local *Local
+	// Noticer keeps what upstreams say of themselves; nil stands for one of its own.
+	Noticer *noticer.Noticer
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 
@@ -88,6 +91,9 @@
 		r.links = map[string]*link{}
 		r.unreachable = map[string]bool{}
 		r.crossRegionBytes = map[int]*hourMeter{}
+		if r.Noticer == nil {
+			r.Noticer = &noticer.Noticer{}
+		}
 		r.Local.GrantedSlots = r.grantedSlots
 	})
 }
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -8,6 +8,7 @@
 
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 )
 
 // Outcome is the result of an attempt that used a slot.
@@ -46,6 +47,8 @@
 	// the slot is still valid; where it has expired or was withdrawn, the
 	// request must not be sent.
 	Confirm() bool
+	// Hear reports what the upstream said of itself in its answer.
+	Hear(notice noticer.Notice)
 	// FirstToken reports the first token and how much of the prompt was cached.
 	FirstToken(cachedTokens int)
 	// End releases the slot; only the first call has an effect.
