--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -45,6 +45,8 @@
 	// CrashPart crashes the process when it would respond to a request whose prompt has
 	// the part with this id.
 	CrashPart string `json:"crash_part"`
+	// NamedLimit is the limit that all responses name, in requests per second; empty for none.
+	NamedLimit string `json:"named_limit"`
 }
 
 // Run records a request that ran on this worker.
@@ -80,6 +82,8 @@
 	mu     sync.Mutex
 	faults Faults
 	runs   []Run
+	// arrivals holds when requests arrived, refused ones included.
+	arrivals []int64
 	// waiting is the number of requests that wait for a slot.
 	waiting int
 	// requestCount is the number of requests received.
@@ -91,6 +95,7 @@
 	v.once.Do(func() { v.slots = make(chan struct{}, max(v.Slots, 1)) })
 	router.HandleFunc("/standin/faults", v.serveFaults).Methods(http.MethodPut)
 	router.HandleFunc("/standin/runs", v.serveRuns).Methods(http.MethodGet)
+	router.HandleFunc("/standin/arrivals", v.serveArrivals).Methods(http.MethodGet)
 	router.HandleFunc("/health", v.serveHealth).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(v.serveRequest)
 }
@@ -110,6 +115,13 @@
 	_ = json.NewEncoder(w).Encode(v.runs)
 }
 
+// serveArrivals responds with the times at which requests arrived, in Unix milliseconds.
+func (v *Worker) serveArrivals(w http.ResponseWriter, _ *http.Request) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(v.arrivals)
+}
+
 func (v *Worker) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -130,6 +142,9 @@
 		return
 	}
 	faults, index := v.countRequest()
+	if faults.NamedLimit != "" {
+		w.Header().Set("Server-Limit", faults.NamedLimit)
+	}
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
@@ -152,6 +167,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.requestCount++
+	v.arrivals = append(v.arrivals, time.Now().UnixMilli())
 	return v.faults, v.requestCount
 }
 
