sharder.Census: who left the view, apart from the homes of limits

The homes of organisations' limits follow which daemons left the view without a planned stop, to tell the smaller side of a partition. Schedulers need the same for limits that upstreams name; moved to sharder.Census without a change of what the homes lend (tests of limiter unchanged and passed).

--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -166,7 +166,7 @@
 	from, to *limitedNode
 }
 
-func (n *limitedNode) dial(ctx context.Context, to gossiper.Member) (reserver.Conn, error) {
+func (n *limitedNode) dial(_ context.Context, to gossiper.Member) (reserver.Conn, error) {
 	n.fleet.mu.Lock()
 	target := n.fleet.nodes[to.Name]
 	n.fleet.mu.Unlock()
--- a/daemon/limiter/homes.go
+++ b/daemon/limiter/homes.go
@@ -36,25 +36,17 @@
 	hasResumed  bool
 
 	mu sync.Mutex
-	// lastMembers holds the eligible members at the last call of trackMembers.
-	lastMembers []gossiper.Member
+	census sharder.Census
 	// departed holds the members that left within slotLifetime, by name.
 	departed map[string]departedMember
 	// regionsSeen holds the regions in which a daemon was ever seen.
 	regionsSeen map[string]bool
-	// missing holds the members that left within missingLifetime and not in a planned
-	// way, by name.
-	missing map[string]departedMember
 }
 
 // askedFormerHomes is the number of daemons that a new home asks to lend no more. The
 // second and third matter where several daemons joined or left at once.
 const askedFormerHomes = 3
 
-// missingLifetime is how long a daemon that has left the view still counts when
-// one side of a partition decides whether it is the smaller one.
-const missingLifetime = 1 * clock.Minute
-
 // home returns the home daemon of an organisation, or this daemon if no member
 // may lend.
 func (l *Limiter) home(organisation string) gossiper.Member {
@@ -85,41 +77,13 @@
 	members := view.Members()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	eligible := make([]gossiper.Member, 0, len(members))
-	// Both lists are sorted by name.
-	last := h.lastMembers
 	for _, m := range members {
 		h.regionsSeen[m.Region] = true
-		for len(last) > 0 && last[0].Name < m.Name {
-			h.noteDeparture(now, last[0], false)
-			last = last[1:]
-		}
-		wasEligible := len(last) > 0 && last[0].Name == m.Name
-		if sharder.IsEligible(m) {
-			eligible = append(eligible, m)
-			delete(h.missing, m.Name)
-		} else if wasEligible {
-			h.noteDeparture(now, last[0], true)
-		}
-		if wasEligible {
-			last = last[1:]
-		}
 	}
-	for _, m := range last {
-		h.noteDeparture(now, m, false)
+	for _, d := range h.census.Track(now, members) {
+		h.departed[d.Member.Name] = departedMember{d.Member, now}
 	}
-	h.lastMembers = eligible
 	maps.DeleteFunc(h.departed, func(_ string, d departedMember) bool { return now-d.departedAt > slotLifetime })
-	maps.DeleteFunc(h.missing, func(_ string, d departedMember) bool { return now-d.departedAt > missingLifetime })
-}
-
-// noteDeparture records that a member is no longer eligible; planned means that it is
-// still there and stops in a planned way. It is called with mu held.
-func (h *homes) noteDeparture(now clock.Millis, m gossiper.Member, planned bool) {
-	h.departed[m.Name] = departedMember{m, now}
-	if !planned {
-		h.missing[m.Name] = departedMember{m, now}
-	}
 }
 
 // isResumed reports whether the incarnation of this daemon has changed: the others
@@ -212,29 +176,13 @@
 		h.regionsSeen[region] = true
 	}
 	share = float64(len(seen)) / float64(max(len(h.regionsSeen), 1))
-	eligible := countEligible(members)
-	known := eligible
-	for _, d := range h.missing {
-		if seen[d.member.Region] {
-			known++
-		}
-	}
-	if known > 1 && 2*eligible <= known {
-		share *= partitionedShare * float64(eligible) / float64(known)
+	present, known := h.census.Known(func(region string) bool { return seen[region] })
+	if known > 1 && 2*present <= known {
+		share *= partitionedShare * float64(present) / float64(known)
 	}
 	return share
 }
 
-// countEligible returns the number of members that may lend.
-func countEligible(members []gossiper.Member) (count int) {
-	for _, m := range members {
-		if sharder.IsEligible(m) {
-			count++
-		}
-	}
-	return count
-}
-
 // position returns this daemon's index, by name, among the daemons that may
 // lend, and their number.
 func (h *homes) position(view gossiper.View) (index, count int) {
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -87,7 +87,7 @@
 		l.openings = map[string]chan struct{}{}
 		l.successors = map[string]successor{}
 		l.unreachableUntil = map[string]clock.Millis{}
-		l.homes = homes{aloneSince: l.Clock.Now(), incarnation: l.View.Self().Incarnation, regionsSeen: map[string]bool{}, departed: map[string]departedMember{}, missing: map[string]departedMember{}}
+		l.homes = homes{aloneSince: l.Clock.Now(), incarnation: l.View.Self().Incarnation, regionsSeen: map[string]bool{}, departed: map[string]departedMember{}}
 	})
 }
 
