Limits that upstreams name hold for all daemons together

What callers saw: an upstream in need named the requests a second that it takes and went on to get two to three times as many (LIMIT), so that it could not recover.

Cause: the header was forwarded and not read. Each daemon could hold a limit only for itself; nothing knew the sum.

Change: the scheduler of a shard, from which each request needs a slot, keeps a token bucket for each upstream that names a limit. Daemons tell it what they hear; it tells them, so that whoever loses it, or finds a new one, knows. Takeovers and divided fleets use less than half of the limit.

--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -76,6 +76,7 @@
 	// is being moved.
 	sharesByPool map[string]scheduler.Shares
 	shardConfigs shardConfigCache
+	census       sharder.Census
 	// ctx is the context of Run; nil before Run is called.
 	ctx context.Context
 	// runnerGroup waits for the goroutines that Run started.
@@ -165,6 +166,7 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.census.Track(now, assignment.Members)
 	for id, r := range g.runners {
 		if owner, found := assignment.Scheduler(id); !found || owner.Name != self {
 			delete(g.runners, id)
@@ -195,6 +197,7 @@
 		}
 	}
 	r.latestConfig.Store(g.shardConfigs.configFor(shard, config))
+	r.fleetDivided.Store(g.census.MaySeeSmallerSide())
 	if !found {
 		g.runnerGroup.Go(func() { g.runShard(r) })
 	}
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -68,6 +68,12 @@
 	appliedConfig shardConfig
 	latestShares  atomic.Pointer[scheduler.Shares]
 	appliedShares *scheduler.Shares
+	// fleetDivided is set while this daemon may be on the smaller side of a partition;
+	// appliedDivided is what the scheduler has received.
+	fleetDivided   atomic.Bool
+	appliedDivided bool
+	// limits holds the limits that upstreams name, as the daemons were told of them.
+	limits map[string]scheduler.LimitChanged
 	// asks and waiting, the number of asks without a grant, are used only by the
 	// runner's goroutine.
 	asks    map[scheduler.AskID]*askState
@@ -78,7 +84,7 @@
 func newRunner(g *Granter, shard sharder.Shard) *runner {
 	return &runner{
 		granter: g, id: shard.ID, pool: shard.Pool, inputs: ring.NewQueue[input](shardRingSize), decider: g.NewDecider(),
-		asks: map[scheduler.AskID]*askState{}, stopped: make(chan struct{}),
+		asks: map[scheduler.AskID]*askState{}, limits: map[string]scheduler.LimitChanged{}, stopped: make(chan struct{}),
 	}
 }
 
@@ -113,9 +119,14 @@
 		}
 		if next.upstreams != r.appliedConfig.upstreams {
 			r.update(*next.upstreams)
+			r.forgetLimits(next.upstreams.List)
 		}
 		r.appliedConfig = *next
 	}
+	if divided := r.fleetDivided.Load(); divided != r.appliedDivided {
+		r.appliedDivided = divided
+		r.update(scheduler.Fleet{Divided: divided})
+	}
 	if next := r.latestShares.Load(); next != r.appliedShares {
 		r.appliedShares = next
 		r.update(*next)
@@ -219,6 +230,7 @@
 	daemon := in.goneDaemon
 	if in.allAnnounced {
 		daemon = in.session.daemon
+		r.sendLimits(in.session)
 	}
 	hasClaimed := false
 	var unclaimed []scheduler.AskID
@@ -260,6 +272,8 @@
 			r.sendRefusal(e)
 		case scheduler.Withdraw:
 			r.sendWithdrawal(e)
+		case scheduler.LimitChanged:
+			r.broadcastLimit(e)
 		case scheduler.LowestTier:
 			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
 			r.granter.lowestTiers.TryPush(lowestTier{shard: r.id, lowest: e.Lowest})
@@ -279,7 +293,7 @@
 	r.granter.metrics.recordGrant(state, now)
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
-		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting),
+		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited,
 	}}})
 }
 
--- a/daemon/granter/session.go
+++ b/daemon/granter/session.go
@@ -101,6 +101,10 @@
 		return s.forwardReport(ctx, m.Cancel.GetAskId(), true, toCancel(s.daemon, m.Cancel))
 	case *wire.ReserveUp_End:
 		return s.forwardReport(ctx, m.End.GetAskId(), true, toEnd(s.daemon, m.End))
+	case *wire.ReserveUp_Notice:
+		if r := s.granter.runner(m.Notice.GetShard()); r != nil {
+			return s.pushTo(ctx, r, toNotice(now, m.Notice))
+		}
 	case *wire.ReserveUp_Announced:
 		for _, r := range s.granter.allRunners() {
 			if err = s.pushTo(ctx, r, input{allAnnounced: true}); err != nil {
@@ -124,6 +128,11 @@
 	s.mu.Lock()
 	s.shardByAsk[ask.GetAskId()] = ask.GetShard()
 	s.mu.Unlock()
+	for _, notice := range ask.GetNotices() {
+		if err = s.pushTo(ctx, r, toNotice(s.granter.Clock.Now(), notice)); err != nil {
+			return err
+		}
+	}
 	return s.pushTo(ctx, r, in)
 }
 
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -57,6 +57,12 @@
 	}
 }
 
+func toNotice(now clock.Millis, n *wire.UpstreamNotice) input {
+	return input{message: scheduler.Notice{
+		Upstream: n.GetUpstream(), HeardAt: now - clock.Millis(max(n.GetHeardMsAgo(), 0)), Limited: n.GetLimited(), Limit: n.GetLimit(),
+	}}
+}
+
 func toOutcome(o wire.Outcome) reserver.Outcome {
 	switch o {
 	case wire.Outcome_OUTCOME_WHOLE:
--- a/daemon/limiter/homes.go
+++ b/daemon/limiter/homes.go
@@ -35,7 +35,7 @@
 	incarnation int64
 	hasResumed  bool
 
-	mu sync.Mutex
+	mu     sync.Mutex
 	census sharder.Census
 	// departed holds the members that left within slotLifetime, by name.
 	departed map[string]departedMember
--- /dev/null
+++ b/daemon/noticer/noticer_test.go
@@ -0,0 +1,66 @@
+package noticer_test
+
+import (
+	"testing"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/noticer"
+)
+
+// TestNewestWordOfALimitCounts guards against a limit that an older word of another daemon
+// brings back, or ends, and against one that is kept for an upstream that is gone.
+func TestNewestWordOfALimitCounts(t *testing.T) {
+	var n noticer.Noticer
+	check := func(what string, limit float64, named bool) {
+		t.Helper()
+		if got, found := n.LimitOf("u"); found != named || got.PerSecond != limit {
+			t.Errorf("%s: %v %v, want %v %v", what, got.PerSecond, found, limit, named)
+		}
+	}
+	check("at first", 0, false)
+	n.Learn(10, "u", noticer.Notice{Limited: true, Limit: 2})
+	check("another daemon's word", 2, true)
+	n.Observe(20, "r", "u", noticer.Notice{Limited: true, Limit: 3})
+	n.Learn(15, "u", noticer.Notice{Limited: true, Limit: 1})
+	n.Learn(15, "u", noticer.Notice{})
+	check("an older word", 3, true)
+	n.Learn(25, "u", noticer.Notice{})
+	check("a newer word", 0, false)
+	n.Observe(30, "r", "u", noticer.Notice{Limited: true, Limit: 0})
+	check("a limit of 0", 0, true)
+	n.Observe(31, "r", "u", noticer.Notice{})
+	check("an answer without a limit", 0, false)
+	n.Observe(32, "r", "u", noticer.Notice{Limited: true, Limit: 4})
+	n.Retain(func(string) bool { return false })
+	check("gone", 0, false)
+}
+
+// TestAllowanceNeverExceedsItsBurst guards against an allowance that grows while nothing is sent,
+// or that a clock reading of the past fills.
+func TestAllowanceNeverExceedsItsBurst(t *testing.T) {
+	var a noticer.Allowance
+	a.Fill(clock.Hour, 0, 0)
+	if a.Has() {
+		t.Error("full at the start")
+	}
+	sent := 0
+	for now := clock.Hour; now <= clock.Hour+10*clock.Second; now += 10 {
+		a.Fill(now, 1.5, 2)
+		a.Fill(now-clock.Minute, 1.5, 2)
+		if a.Has() {
+			a.Take()
+			sent++
+		}
+	}
+	if sent < 14 || sent > 15 {
+		t.Errorf("%d requests in 10 s at 1.5 a second", sent)
+	}
+	a.Fill(2*clock.Hour, 1.5, 2)
+	for a.Has() {
+		a.Take()
+		sent++
+	}
+	if sent > 17 {
+		t.Errorf("%d requests after an hour without any, the burst is 2", sent)
+	}
+}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -5,7 +5,6 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
-	"yuccaspread/daemon/noticer"
 )
 
 // confirmTransit is the time that a confirmation may take to reach the scheduler.
@@ -59,6 +58,8 @@
 	schedulerKnowsSent bool
 	firstTokenAt       clock.Millis
 	isWithdrawn        bool
+	// limited is set if the scheduler knows of a limit that the upstream names.
+	limited bool
 	// chargedBytes is the estimated cross-region volume that was charged for the
 	// request; 0 for requests that stay in their region.
 	chargedBytes int64
@@ -156,6 +157,8 @@
 		if res := r.reservationOn(l, m.Refusal.GetAskId()); res != nil {
 			res.handleRefusal(m.Refusal)
 		}
+	case *wire.ReserveDown_Notice:
+		r.learnLimit(l, m.Notice)
 	case *wire.ReserveDown_Withdrawal:
 		if res := r.reservationOn(l, m.Withdrawal.GetAskId()); res != nil && !res.isWithdrawn {
 			res.isWithdrawn = true
@@ -187,6 +190,8 @@
 		return
 	}
 	r.markHeld(res, upstream, grant.GetVersion())
+	res.limited = grant.GetLimited()
+	r.recordKnownLimit(upstream.Name, res.limited, scheduled{res.link, res.shard})
 	res.expiresAt = res.grantedAt + clock.Millis(grant.GetExpiresMs()) - confirmTransit
 	res.deliverResult(askResult{})
 }
@@ -242,11 +247,6 @@
 // Withdrawn implements Slot.
 func (res *reservation) Withdrawn() <-chan struct{} { return res.withdrawn }
 
-// Hear implements Slot.
-func (res *reservation) Hear(notice noticer.Notice) {
-	res.remote.Noticer.Observe(res.request.ID, res.upstream.Name, notice)
-}
-
 // FirstToken implements Slot.
 func (res *reservation) FirstToken(cachedTokens int) {
 	r := res.remote
@@ -331,8 +331,10 @@
 	return ask
 }
 
-func (res *reservation) askMessage() *wire.ReserveUp {
-	return &wire.ReserveUp{Message: &wire.ReserveUp_Ask{Ask: res.wireAsk()}}
+func (res *reservation) askMessage(notices []*wire.UpstreamNotice) *wire.ReserveUp {
+	ask := res.wireAsk()
+	ask.Notices = notices
+	return &wire.ReserveUp{Message: &wire.ReserveUp_Ask{Ask: ask}}
 }
 
 // announceMessage returns the message that announces a held slot to a scheduler.
--- /dev/null
+++ b/daemon/reserver/limited_share.go
@@ -0,0 +1,89 @@
+package reserver
+
+import (
+	"maps"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/noticer"
+	"yuccaspread/daemon/sharder"
+)
+
+// What daemons that can't reach the scheduler of a shard send to an upstream that names a
+// limit. Each part of a large fleet is less than a request, so few daemons use it; the
+// scheduler, or a new one, may grant slots at the same time.
+const (
+	// limitSharers is the number of daemons of the region that use an upstream with a limit.
+	limitSharers = 2
+	// sharedPart is the part of the limit that they use together.
+	sharedPart = 0.4
+	// minSharedRate is the least rate, in requests per second, that they use together.
+	minSharedRate = 0.2
+)
+
+// limitedShare is what this daemon may send, without a scheduler, to upstreams that name a
+// limit. The zero value permits all. It is not safe for concurrent use.
+type limitedShare struct {
+	noticer *noticer.Noticer
+	// isSharer reports whether this daemon is one of the limitSharers of an upstream.
+	isSharer func(upstream string) bool
+	// allowances holds an entry for each upstream with a limit that was used lately; an
+	// upstream without one may get a request.
+	allowances map[string]*noticer.Allowance
+}
+
+// allowanceLifetime is longer than any allowance takes to be full again.
+const allowanceLifetime = 1 * clock.Minute
+
+// permits reports whether a request may be sent to the upstream now.
+func (s *limitedShare) permits(now clock.Millis, upstream string) bool {
+	if s.noticer == nil {
+		return true
+	}
+	limit, named := s.noticer.LimitOf(upstream)
+	if !named {
+		return true
+	}
+	if !s.isSharer(upstream) {
+		return false
+	}
+	allowance := s.allowances[upstream]
+	if allowance == nil {
+		return true
+	}
+	allowance.Fill(now, max(sharedPart*limit.PerSecond, minSharedRate)/limitSharers, 1)
+	return allowance.Has()
+}
+
+// take counts a request that is sent to the upstream.
+func (s *limitedShare) take(now clock.Millis, upstream string) {
+	if s.noticer == nil {
+		return
+	}
+	if _, named := s.noticer.LimitOf(upstream); !named {
+		return
+	}
+	allowance := s.allowances[upstream]
+	if allowance == nil {
+		if s.allowances == nil {
+			s.allowances = map[string]*noticer.Allowance{}
+		}
+		maps.DeleteFunc(s.allowances, func(_ string, a *noticer.Allowance) bool { return now-a.FilledAt() > allowanceLifetime })
+		allowance = &noticer.Allowance{}
+		allowance.Fill(now, 1, 1)
+		s.allowances[upstream] = allowance
+	}
+	allowance.Take()
+}
+
+// isLimitSharer reports whether this daemon is one of those that rank highest for the upstream
+// in its region.
+func (r *Remote) isLimitSharer(upstream string) bool {
+	self := r.View.Self()
+	own, above := sharder.Rank(self.Name, upstream), 0
+	for _, m := range r.Assigner.Current().Members {
+		if m.Name != self.Name && m.Region == self.Region && sharder.IsEligible(m) && sharder.Rank(m.Name, upstream) > own {
+			above++
+		}
+	}
+	return above < limitSharers
+}
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -27,6 +27,8 @@
 	GrantedSlots func(upstream string) int
 
 	mu sync.Mutex
+	// limits is what this daemon may send to upstreams that name a limit.
+	limits limitedShare
 	// running counts the slots in use by upstream; no entry is 0.
 	running map[string]int
 	// slotFreed is closed and replaced when a slot is released.
@@ -95,7 +97,7 @@
 			continue
 		}
 		hasUpstream = true
-		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.share(u) {
+		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.share(u) || !l.limits.permits(l.Clock.Now(), u.Name) {
 			continue
 		}
 		if !found || l.running[u.Name]*best.Slots < l.running[best.Name]*u.Slots {
@@ -104,6 +106,7 @@
 	}
 	if found {
 		l.running[best.Name]++
+		l.limits.take(l.Clock.Now(), best.Name)
 		return best, true, nil
 	}
 	if !hasUpstream {
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -77,6 +77,10 @@
 	// unreachable holds the names of the schedulers that could not be reached at
 	// the last attempt or did not answer.
 	unreachable map[string]bool
+	// knownLimits tells, by upstream, which scheduler knows of its limit.
+	knownLimits map[string]scheduled
+	// retainedConfig is the configuration by which gone upstreams were last forgotten.
+	retainedConfig *inventory.Config
 	// crossRegionBytes holds the volume sent to other regions, by tier.
 	crossRegionBytes map[int]*hourMeter
 }
@@ -84,6 +88,9 @@
 func (r *Remote) prepare() {
 	r.once.Do(func() {
 		r.ctx, r.cancel = context.WithCancel(context.Background())
+		if r.Noticer == nil {
+			r.Noticer = &noticer.Noticer{}
+		}
 		r.metrics = newMetrics(r.Registerer)
 		r.reservations = map[uint64]*reservation{}
 		r.heldByUpstream = map[string]int{}
@@ -91,10 +98,9 @@
 		r.links = map[string]*link{}
 		r.unreachable = map[string]bool{}
 		r.crossRegionBytes = map[int]*hourMeter{}
-		if r.Noticer == nil {
-			r.Noticer = &noticer.Noticer{}
-		}
+		r.knownLimits = map[string]scheduled{}
 		r.Local.GrantedSlots = r.grantedSlots
+		r.Local.limits = limitedShare{noticer: r.Noticer, isSharer: r.isLimitSharer}
 	})
 }
 
@@ -272,7 +278,7 @@
 		return nil, false, nil
 	}
 	l.lastUsed.Store(int64(r.Clock.Now()))
-	if err = l.outgoing.Push(ctx, res.askMessage()); err != nil {
+	if err = l.outgoing.Push(ctx, res.askMessage(r.unknownLimits(l, shard))); err != nil {
 		r.cancelReservation(res)
 		return nil, true, err
 	}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -113,6 +113,21 @@
 	Up       bool   `json:"up"`
 }
 
+// Notice is what an upstream said in an answer at HeardAt about the rate of requests, per
+// second, that it accepts from all daemons together; Limited is unset if it named none.
+type Notice struct {
+	Upstream string       `json:"upstream"`
+	HeardAt  clock.Millis `json:"heard_ms"`
+	Limited  bool         `json:"limited"`
+	Limit    float64      `json:"limit"`
+}
+
+// Fleet reports whether this daemon may be on the smaller side of a partition, and another
+// scheduler on the other side use the same upstreams.
+type Fleet struct {
+	Divided bool `json:"divided"`
+}
+
 // Shares replaces the shares of traffic by version for a move; versions that
 // are not named get the rest. A share of 0 stops a version.
 type Shares struct {
@@ -145,6 +160,8 @@
 func (Load) message()        {}
 func (CacheChange) message() {}
 func (Health) message()      {}
+func (Notice) message()      {}
+func (Fleet) message()       {}
 func (Shares) message()      {}
 func (RegionTier) message()  {}
 func (Tick) message()        {}
@@ -159,6 +176,8 @@
 	Version  string `json:"version"`
 	// Expires is when the grant ends unless it is confirmed before.
 	Expires clock.Millis `json:"expires_ms"`
+	// Limited is set if the upstream names a limit, as far as is known here.
+	Limited bool `json:"limited,omitempty"`
 }
 
 // Reason is the cause of a refusal.
@@ -197,7 +216,12 @@
 	Lowest int `json:"lowest"`
 }
 
-func (Grant) effect()      {}
-func (Refuse) effect()     {}
-func (Withdraw) effect()   {}
-func (LowestTier) effect() {}
+// LimitChanged reports that an upstream has named a limit, another one, or, if Limited is unset,
+// none any more.
+type LimitChanged Notice
+
+func (LimitChanged) effect() {}
+func (Grant) effect()        {}
+func (Refuse) effect()       {}
+func (Withdraw) effect()     {}
+func (LowestTier) effect()   {}
--- /dev/null
+++ b/daemon/scheduler/named_limit.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/noticer"
+)
+
+// Rates at which the limits that upstreams name are used.
+const (
+	// minNamedRate is the least rate, in requests per second, at which an upstream is tried:
+	// only its answers tell that its limit has ended.
+	minNamedRate = 0.2
+	// minLimitBurst is the least number of requests that may be sent at once, and
+	// limitBurstTime the time whose requests may be, so that none is lost between two ticks.
+	minLimitBurst  = 2.0
+	limitBurstTime = 50 * clock.Millisecond
+	// unsureShare is the share of a limit that is used while another scheduler may use it
+	// too. Both together stay below one and a half times the limit.
+	unsureShare = 0.45
+	// takeoverTime is how long after this scheduler has got an upstream another one may
+	// still grant slots on it, because the daemons learn of the change one by one.
+	takeoverTime = 6 * clock.Second
+	// reportedChange is the least ratio of two limits between which a change is reported to
+	// the daemons: they need no more than the order of magnitude.
+	reportedChange = 1.25
+)
+
+// namedLimit holds an upstream to the rate that it accepts by its own word. The zero value
+// sets no limit.
+type namedLimit struct {
+	named     bool
+	perSecond float64
+	// heardAt is when the upstream last said whether it has a limit.
+	heardAt   clock.Millis
+	allowance noticer.Allowance
+	// reported is the limit that the daemons know, 0 for none.
+	reported float64
+}
+
+// handleNotice takes what a daemon heard of an upstream, unless something newer is known.
+func (s *State) handleNotice(m Notice) {
+	u := s.findUpstream(m.Upstream)
+	if u == nil || m.HeardAt < u.limit.heardAt {
+		return
+	}
+	u.limit.heardAt = m.HeardAt
+	if m.Limited && !u.limit.named {
+		u.limit.allowance.Fill(s.now, 0, 0)
+	}
+	s.fillAllowance(u)
+	changed := u.limit.named != m.Limited
+	u.limit.named, u.limit.perSecond = m.Limited, m.Limit
+	ratio := max(m.Limit, minNamedRate) / max(u.limit.reported, minNamedRate)
+	if changed || (m.Limited && (ratio >= reportedChange || 1/ratio >= reportedChange)) {
+		u.limit.reported = m.Limit
+		s.emit(LimitChanged(m))
+	}
+}
+
+// limitRate returns the rate, in requests per second, at which an upstream with a limit gets
+// requests from here.
+func (s *State) limitRate(u *upstream) float64 {
+	rate := max(u.limit.perSecond, minNamedRate)
+	if s.divided || s.now-u.addedAt < takeoverTime {
+		rate *= unsureShare
+	}
+	return rate
+}
+
+func (s *State) fillAllowance(u *upstream) {
+	if u.limit.named {
+		rate := s.limitRate(u)
+		u.limit.allowance.Fill(s.now, rate, max(minLimitBurst, rate*limitBurstTime.Duration().Seconds()))
+	}
+}
+
+// withinLimit reports whether an upstream accepts one more request by its own word.
+func (s *State) withinLimit(u *upstream) bool {
+	if !u.limit.named {
+		return true
+	}
+	s.fillAllowance(u)
+	return u.limit.allowance.Has()
+}
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -125,7 +125,7 @@
 	if !u.acceptsWork(s.now) {
 		return false
 	}
-	if u.trialPending(s.now) {
+	if u.trialPending(s.now) || !s.withinLimit(u) {
 		return false
 	}
 	if u.straggler.Ejected() {
@@ -174,7 +174,7 @@
 // due for a probe.
 func (s *State) anyFree(reserved uint64) bool {
 	for _, u := range s.upstreams {
-		if reserved&u.mask() != 0 || !u.acceptsWork(s.now) {
+		if reserved&u.mask() != 0 || !u.acceptsWork(s.now) || !s.withinLimit(u) {
 			continue
 		}
 		limit := placer.MaxConcurrent(&u.speed.TokenGap, s.tokenGapTargetMS, u.Slots)
@@ -196,12 +196,15 @@
 		u.straggler.StartProbe(s.now)
 	}
 	s.occupySlot(a, u)
+	if u.limit.named {
+		u.limit.allowance.Take()
+	}
 	s.recordService(a)
 	s.shares.recordGrant(a)
 	s.pace.recordGrant(s.now, a.entry.Tier)
 	s.index.Store(a.PrefixHashes, u.bit)
 	s.unconfirmed = append(s.unconfirmed, a)
-	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime()})
+	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named})
 }
 
 // occupySlot counts an ask as running on an upstream.
--- a/daemon/scheduler/record.go
+++ b/daemon/scheduler/record.go
@@ -9,6 +9,8 @@
 const RecordedPackage = "scheduler"
 
 // Kind returns the name of a message's type in records.
+//
+//nolint:gocyclo // One switch over all messages, one line each.
 func Kind(m Message) string {
 	switch m.(type) {
 	case Ask:
@@ -35,6 +37,10 @@
 		return "cache_change"
 	case Health:
 		return "health"
+	case Notice:
+		return "notice"
+	case Fleet:
+		return "fleet"
 	case Shares:
 		return "shares"
 	case RegionTier:
@@ -47,7 +53,7 @@
 // ReplacesEarlier reports whether a message of a kind replaces all earlier ones of that
 // kind, so that a recording needs the newest one only.
 func ReplacesEarlier(kind string) bool {
-	return kind == "upstreams" || kind == "rules" || kind == "shares"
+	return kind == "upstreams" || kind == "rules" || kind == "shares" || kind == "fleet"
 }
 
 // Parse decodes a recorded message of a kind. It returns an error for an unknown
@@ -80,6 +86,8 @@
 		Kind(Load{}):        parseAs[Load],
 		Kind(CacheChange{}): parseAs[CacheChange],
 		Kind(Health{}):      parseAs[Health],
+		Kind(Notice{}):      parseAs[Notice],
+		Kind(Fleet{}):       parseAs[Fleet],
 		Kind(Shares{}):      parseAs[Shares],
 		Kind(RegionTier{}):  parseAs[RegionTier],
 		Kind(Tick{}):        parseAs[Tick],
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -121,7 +121,9 @@
 		if u.consecutiveBreaks >= breaksBeforePause {
 			u.pauseWork(s.now)
 		}
-	case reserver.Failed, reserver.NotSent, reserver.Cancelled:
+	case reserver.NotSent:
+		u.limit.allowance.Return()
+	case reserver.Failed, reserver.Cancelled:
 	}
 	s.release(a)
 }
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -58,8 +58,10 @@
 	tokenGapTargetMS   float64
 
 	shares shares
-	region region
-	pace   pace
+	// divided is set while another scheduler may use the same upstreams.
+	divided bool
+	region  region
+	pace    pace
 }
 
 // ask is an ask with its state.
@@ -139,6 +141,10 @@
 		s.handleCacheChange(m)
 	case Health:
 		s.handleHealth(m)
+	case Notice:
+		s.handleNotice(m)
+	case Fleet:
+		s.divided = m.Divided
 	case Shares:
 		s.shares.replace(m)
 	case RegionTier:
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -40,6 +40,11 @@
 	generationSpeed *estimator.Speed
 	straggler       detector.Straggler
 
+	// limit is the rate that it accepts by its own word; addedAt is when this scheduler
+	// got the upstream.
+	limit   namedLimit
+	addedAt clock.Millis
+
 	running int
 	// tokens is the sum of the prompt and expected output tokens of the running
 	// requests.
@@ -199,7 +204,7 @@
 		if used&(1<<bit) != 0 {
 			continue
 		}
-		u := &upstream{Upstream: entry, bit: bit, integralAt: s.now}
+		u := &upstream{Upstream: entry, bit: bit, integralAt: s.now, addedAt: s.now}
 		u.speed = s.speeds.Upstream(entry.Name, entry.Generation)
 		u.generationSpeed = s.speeds.Generation(entry.Generation)
 		s.upstreams = append(s.upstreams, u)
