Requests beyond named limits go to other regions before they are late

What callers saw: where most upstreams of a region name limits, requests wait there until their callers' patience ends, while other regions have slots.

Cause: another region is asked only after the own one has refused, which it does at the end of the patience.

Change: while an upstream of a shard names a limit, an ask is first made with objective_only: a scheduler that expects it to miss its objective refuses at once, at home and elsewhere; then it waits at home as before.

--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -48,6 +48,8 @@
 type limitedFleet struct {
 	start  time.Time
 	source *source
+	// regions are those of the daemons and upstreams, in turn.
+	regions []string
 
 	mu      sync.Mutex
 	members []gossiper.Member
@@ -60,7 +62,11 @@
 	// namedAt is when named was set.
 	namedAt  time.Duration
 	arrivals map[string][]time.Duration
-	served   int
+	// limitedRegion restricts the limit to the upstreams of a region; empty means all.
+	limitedRegion string
+	// prompt counts the requests of that region that were answered within their objective
+	// since the limit was named, and sent all of them.
+	prompt, sent int
 	// cut holds the pairs of daemons that can't reach each other.
 	cut map[[2]string]bool
 }
@@ -68,6 +74,7 @@
 type limitedNode struct {
 	fleet   *limitedFleet
 	name    string
+	region  string
 	granter *granter.Granter
 	remote  *reserver.Remote
 	ctx     context.Context
@@ -80,12 +87,13 @@
 func (f *limitedFleet) since() time.Duration { return time.Since(f.start) }
 
 type limitedView struct {
-	fleet *limitedFleet
-	self  string
+	fleet  *limitedFleet
+	self   string
+	region string
 }
 
 func (v limitedView) Self() gossiper.Member {
-	return gossiper.Member{Name: v.self, Region: region, PeerListen: v.self}
+	return gossiper.Member{Name: v.self, Region: v.region, PeerListen: v.self}
 }
 
 func (v limitedView) Members() []gossiper.Member {
@@ -98,23 +106,24 @@
 }
 
 // newLimitedFleet starts daemons whose callers send the given number of requests a second, all
-// together, until the test ends.
-func newLimitedFleet(ctx context.Context, daemons, upstreams int, requestsPerSecond float64) *limitedFleet {
+// together, until the test ends. Daemons and upstreams are in the regions in turn.
+func newLimitedFleet(ctx context.Context, daemons, upstreams int, requestsPerSecond float64, regions ...string) *limitedFleet {
 	f := &limitedFleet{
-		start: time.Now(), source: &source{}, views: map[string][]gossiper.Member{}, nodes: map[string]*limitedNode{},
+		start: time.Now(), source: &source{}, regions: regions, views: map[string][]gossiper.Member{}, nodes: map[string]*limitedNode{},
 		arrivals: map[string][]time.Duration{}, cut: map[[2]string]bool{},
 	}
-	config := inventory.Config{
-		Revision: 1, Regions: []inventory.Region{{Name: region}}, Pools: []inventory.Pool{{Name: pool}}, Tiers: []inventory.Tier{{Name: "t0"}},
+	config := inventory.Config{Revision: 1, Pools: []inventory.Pool{{Name: pool}}, Tiers: []inventory.Tier{{Name: "t0", CrossRegionBytesPerHour: 1 << 40}}}
+	for _, name := range regions {
+		config.Regions = append(config.Regions, inventory.Region{Name: name})
 	}
 	for i := range upstreams {
 		config.Upstreams = append(config.Upstreams, inventory.Upstream{
-			Name: fmt.Sprintf("u%02d", i), Address: "127.0.0.1:1", Pool: pool, Region: region, Slots: 5,
+			Name: fmt.Sprintf("u%02d", i), Address: "127.0.0.1:1", Pool: pool, Region: regions[i%len(regions)], Slots: 5,
 		})
 	}
 	f.source.config.Store(&config)
 	for i := range daemons {
-		f.startDaemon(ctx, fmt.Sprintf("d%03d", i))
+		f.startDaemon(ctx, fmt.Sprintf("d%03d", i), regions[i%len(regions)])
 	}
 	for i := range daemons {
 		name := fmt.Sprintf("d%03d", i)
@@ -124,21 +133,21 @@
 	return f
 }
 
-func (f *limitedFleet) startDaemon(ctx context.Context, name string) {
-	n := &limitedNode{fleet: f, name: name}
+func (f *limitedFleet) startDaemon(ctx context.Context, name, home string) {
+	n := &limitedNode{fleet: f, name: name, region: home}
 	n.ctx, n.stop = context.WithCancel(ctx)
-	v := limitedView{fleet: f, self: name}
+	v := limitedView{fleet: f, self: name, region: home}
 	assigner := &sharder.Assigner{Source: f.source, View: v, Clock: f}
 	n.granter = &granter.Granter{
 		Source: f.source, View: v, Assigner: assigner, Clock: f, NewDecider: func() granter.Decider { return &scheduler.State{} },
 	}
 	n.remote = &reserver.Remote{
 		Source: f.source, View: v, Assigner: assigner, Clock: f, Dial: n.dial,
-		Local: &reserver.Local{Source: f.source, Clock: f, Daemons: func() int { return assigner.Current().Daemons(region) }},
+		Local: &reserver.Local{Source: f.source, Clock: f, Daemons: func() int { return assigner.Current().Daemons(home) }},
 	}
 	f.mu.Lock()
 	f.nodes[name] = n
-	f.members = append(slices.Clone(f.members), limitedView{fleet: f, self: name}.Self())
+	f.members = append(slices.Clone(f.members), v.Self())
 	slices.SortFunc(f.members, func(a, b gossiper.Member) int { return compareNames(a.Name, b.Name) })
 	f.mu.Unlock()
 	go n.granter.Run(n.ctx)
@@ -220,14 +229,21 @@
 	}
 }
 
+// objective is the latency objective of the requests, patience the time after which callers leave.
+const (
+	objective = 600 * clock.Millisecond
+	patience  = 2 * clock.Second
+)
+
 func (f *limitedFleet) sendRequest(n *limitedNode, number int) {
-	ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(n.ctx, patience.Duration())
 	defer cancel()
 	now := f.Now()
 	req := &classifier.Request{
-		ID: fmt.Sprint(n.name, "-", number), Organisation: "o", Route: "question", Pool: pool,
-		Arrived: now, Deadline: now + 2*clock.Second, Idempotent: true,
+		ID: fmt.Sprint(n.name, "-", number), Organisation: "o", Route: "question", Pool: pool, Arrived: now,
+		Deadline: now + 10*clock.Second, LatencyObjective: objective, Patience: patience, Idempotent: true,
 	}
+	counts := f.countSent(n)
 	slot, err := n.remote.Reserve(ctx, req, nil)
 	if err != nil {
 		return
@@ -242,8 +258,13 @@
 	f.mu.Unlock()
 	time.Sleep(workTime)
 	f.mu.Lock()
-	notice := noticer.Notice{Limited: f.named, Limit: f.limit}
-	f.served++
+	var notice noticer.Notice
+	if f.named && (f.limitedRegion == "" || f.limitedRegion == slot.Upstream().Region) {
+		notice = noticer.Notice{Limited: true, Limit: f.limit}
+	}
+	if counts && f.Now()-now <= objective {
+		f.prompt++
+	}
 	f.mu.Unlock()
 	time.Sleep(upstreamLatency)
 	slot.Hear(notice)
@@ -251,6 +272,17 @@
 	slot.End(reserver.Usage{Outcome: reserver.Completed, OutputTokens: 10})
 }
 
+// countSent reports whether a request that is sent now counts in prompt and sent.
+func (f *limitedFleet) countSent(n *limitedNode) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.named || n.region != f.limitedRegion {
+		return false
+	}
+	f.sent++
+	return true
+}
+
 // nameLimit lets all upstreams name a limit from now on.
 func (f *limitedFleet) nameLimit(limit float64) {
 	f.mu.Lock()
@@ -301,6 +333,9 @@
 	defer f.mu.Unlock()
 	allowed := limitFactor*f.limit*limitWindow.Seconds() + limitSlack
 	for upstream, times := range f.arrivals {
+		if u, _ := inventory.Lookup(f.source.Current().Upstreams, upstream); f.limitedRegion != "" && u.Region != f.limitedRegion {
+			continue
+		}
 		slices.Sort(times)
 		times = times[countBefore(times, f.namedAt+limitGrace):]
 		for i, at := range times {
@@ -328,10 +363,16 @@
 
 // runLimitedFleet runs a scenario in virtual time.
 func runLimitedFleet(t *testing.T, daemons, upstreams int, requestsPerSecond float64, scenario func(f *limitedFleet)) {
+	t.Helper()
+	runRegions(t, daemons, upstreams, requestsPerSecond, []string{region}, scenario)
+}
+
+// runRegions runs a scenario in virtual time, with daemons and upstreams in some regions.
+func runRegions(t *testing.T, daemons, upstreams int, requestsPerSecond float64, regions []string, scenario func(f *limitedFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newLimitedFleet(ctx, daemons, upstreams, requestsPerSecond)
+		f := newLimitedFleet(ctx, daemons, upstreams, requestsPerSecond, regions...)
 		time.Sleep(8 * time.Second)
 		scenario(f)
 		f.checkLimit(t)
@@ -480,3 +521,22 @@
 		})
 	}
 }
+
+// TestRequestsBeyondNamedLimitsGoToOtherRegions guards against requests that wait for upstreams
+// with a limit until it is too late for another region.
+func TestRequestsBeyondNamedLimitsGoToOtherRegions(t *testing.T) {
+	t.Parallel()
+	const least = 0.9
+	runRegions(t, 6, 6, 60, []string{"a", "b"}, func(f *limitedFleet) {
+		f.mu.Lock()
+		f.limitedRegion = "a"
+		f.mu.Unlock()
+		f.nameLimit(2)
+		time.Sleep(20 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if share := float64(f.prompt) / float64(f.sent); share < least {
+			t.Errorf("%.3f of %d requests of the region were answered in time, want %v", share, f.sent, least)
+		}
+	})
+}
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -17,7 +17,7 @@
 		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: int(a.GetTier()),
 		Deadline: now + clock.Millis(a.GetRemainingMs()), PromptTokens: int(a.GetPromptTokens()),
 		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
-		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(),
+		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), ObjectiveOnly: a.GetObjectiveOnly(),
 	}
 	if a.GetHasObjective() {
 		ask.Objective = now + clock.Millis(a.GetObjectiveMs())
@@ -86,6 +86,8 @@
 	switch r {
 	case scheduler.ReasonQueueFull:
 		return wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL
+	case scheduler.ReasonObjective:
+		return wire.RefusalReason_REFUSAL_REASON_OBJECTIVE
 	case scheduler.ReasonNoUpstream:
 		return wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM
 	case scheduler.ReasonDeadline:
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -30,14 +30,22 @@
 	askAgain bool
 }
 
+// want is what a caller of Reserve wants.
+type want struct {
+	request *classifier.Request
+	// excluded names the upstreams that must not be used.
+	excluded []string
+	// objectiveOnly is set if an ask is refused at once where it would miss its objective.
+	objectiveOnly bool
+}
+
 // reservation is an ask of this daemon, or a slot that it holds. The fields from
 // stage on are guarded by Remote.mu.
 type reservation struct {
-	remote   *Remote
-	askID    uint64
-	shard    string
-	request  *classifier.Request
-	excluded []string
+	want
+	remote *Remote
+	askID  uint64
+	shard  string
 	// results has room for one result; only the first one is kept.
 	results chan askResult
 	// withdrawn is closed once the slot is withdrawn.
@@ -69,12 +77,12 @@
 
 // addReservation adds a waiting reservation for which no scheduler has been asked
 // yet.
-func (r *Remote) addReservation(req *classifier.Request, excluded []string, shard string) *reservation {
+func (r *Remote) addReservation(w want, shard string) *reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastAskID++
 	res := &reservation{
-		remote: r, askID: r.lastAskID, shard: shard, request: req, excluded: excluded,
+		want: w, remote: r, askID: r.lastAskID, shard: shard,
 		results: make(chan askResult, 1), withdrawn: make(chan struct{}),
 	}
 	r.reservations[res.askID] = res
@@ -333,7 +341,7 @@
 
 func (res *reservation) askMessage(notices []*wire.UpstreamNotice) *wire.ReserveUp {
 	ask := res.wireAsk()
-	ask.Notices = notices
+	ask.Notices, ask.ObjectiveOnly = notices, res.objectiveOnly
 	return &wire.ReserveUp{Message: &wire.ReserveUp_Ask{Ask: ask}}
 }
 
--- a/daemon/reserver/entry_test.go
+++ b/daemon/reserver/entry_test.go
@@ -26,7 +26,7 @@
 		"stream in progress": {classifier.Request{Arrived: now - 6000, LastWriteAt: now - 300, LatencyObjective: 500, Patience: patience}, patience - 300, false},
 	} {
 		c.request.Deadline = now + 30_000
-		res := &reservation{remote: &Remote{Clock: fixedClock(now)}, request: &c.request}
+		res := &reservation{remote: &Remote{Clock: fixedClock(now)}, want: want{request: &c.request}}
 		if ask := res.wireAsk(); ask.GetPatienceMs() != c.left || ask.GetHasObjective() != c.objective {
 			t.Errorf("%s: %v", name, ask)
 		}
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,7 +141,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, (waitEnd - startedAt).Duration())
 	defer cancel()
-	res, err := r.reserveAnywhere(waitCtx, req, excluded)
+	res, err := r.reserveAnywhere(waitCtx, want{request: req, excluded: excluded})
 	if err != nil {
 		err = r.toCallerError(ctx, waitCtx, err)
 		span.SetStatus(codes.Error, err.Error())
@@ -173,10 +174,24 @@
 // reserveAnywhere asks the shards of this daemon's region and then, within the
 // tier's budget, those of other regions. Where all refuse, it returns the
 // refusal of the region's first shard.
-func (r *Remote) reserveAnywhere(ctx context.Context, req *classifier.Request, excluded []string) (res *reservation, err error) {
+func (r *Remote) reserveAnywhere(ctx context.Context, w want) (res *reservation, err error) {
+	home := r.rankedShards(r.View.Self().Region, w.request)
+	if len(home) == 0 {
+		return r.reserveInOtherRegions(ctx, w)
+	}
+	if r.isHeldByLimits(w.request, home) {
+		prompt := w
+		prompt.objectiveOnly = true
+		if res, err = r.reserveAny(ctx, prompt, home); err == nil || ctx.Err() != nil {
+			return res, err
+		}
+		if res, err = r.spill(ctx, prompt, false); err == nil || ctx.Err() != nil {
+			return res, err
+		}
+	}
 	var firstErr error
-	for _, shard := range r.rankedShards(r.View.Self().Region, req) {
-		res, err = r.reserveAt(ctx, req, excluded, shard)
+	for _, shard := range home {
+		res, err = r.reserveAt(ctx, w, shard)
 		if err == nil || ctx.Err() != nil {
 			return res, err
 		}
@@ -184,21 +199,32 @@
 			firstErr = err
 		}
 	}
-	if firstErr == nil {
-		return r.reserveInOtherRegions(ctx, req, excluded)
-	}
-	res, err = r.spill(ctx, req, excluded, false)
+	res, err = r.spill(ctx, w, false)
 	if err == nil || ctx.Err() != nil {
 		return res, err
 	}
 	return nil, firstErr
 }
 
+// isHeldByLimits reports whether a request with an objective may have to wait for an upstream
+// that names a limit, while upstreams of other regions have none.
+func (r *Remote) isHeldByLimits(req *classifier.Request, home []sharder.Shard) bool {
+	if req.LatencyObjective <= 0 || req.LastWriteAt > 0 {
+		return false
+	}
+	return slices.ContainsFunc(home, func(shard sharder.Shard) bool {
+		return slices.ContainsFunc(shard.Upstreams, func(u inventory.Upstream) bool {
+			_, named := r.Noticer.LimitOf(u.Name)
+			return named
+		})
+	})
+}
+
 // reserveInOtherRegions serves a request whose pool has no upstream in this
 // region. It repeats the search while no scheduler of another region answers.
-func (r *Remote) reserveInOtherRegions(ctx context.Context, req *classifier.Request, excluded []string) (res *reservation, err error) {
+func (r *Remote) reserveInOtherRegions(ctx context.Context, w want) (res *reservation, err error) {
 	for {
-		res, err = r.spill(ctx, req, excluded, true)
+		res, err = r.spill(ctx, w, true)
 		if !errors.Is(err, errSchedulerUnreachable) {
 			return res, err
 		}
@@ -216,7 +242,7 @@
 // reserveAt waits for a slot of one shard, also when the shard's scheduler changes
 // meanwhile. While the scheduler can't be reached, the local share serves shards
 // of this region.
-func (r *Remote) reserveAt(ctx context.Context, req *classifier.Request, excluded []string, shard sharder.Shard) (res *reservation, err error) {
+func (r *Remote) reserveAt(ctx context.Context, w want, shard sharder.Shard) (res *reservation, err error) {
 	for {
 		if err = ctx.Err(); err != nil {
 			return nil, err
@@ -226,7 +252,7 @@
 			l := r.linkTo(scheduler)
 			connected, nextTry := r.awaitLink(ctx, l)
 			if connected {
-				res, done, err := r.askAt(ctx, l, req, excluded, shard)
+				res, done, err := r.askAt(ctx, l, w, shard)
 				if done {
 					return res, err
 				}
@@ -241,7 +267,7 @@
 		if shard.Region != r.View.Self().Region {
 			return nil, errSchedulerUnreachable
 		}
-		if res, err = r.reserveLocally(ctx, req, excluded, shard, retry); res != nil || err != nil {
+		if res, err = r.reserveLocally(ctx, w, shard, retry); res != nil || err != nil {
 			return res, err
 		}
 	}
@@ -271,8 +297,8 @@
 
 // askAt sends one ask on the link and waits for its result. done is false where
 // the ask must be repeated, at this or another scheduler.
-func (r *Remote) askAt(ctx context.Context, l *link, req *classifier.Request, excluded []string, shard sharder.Shard) (res *reservation, done bool, err error) {
-	res = r.addReservation(req, excluded, shard.ID)
+func (r *Remote) askAt(ctx context.Context, l *link, w want, shard sharder.Shard) (res *reservation, done bool, err error) {
+	res = r.addReservation(w, shard.ID)
 	if !r.attachLink(res, l) {
 		r.release(res)
 		return nil, false, nil
@@ -315,7 +341,7 @@
 
 // reserveLocally waits for a slot of the local share until retry is closed; then
 // it returns neither a slot nor an error.
-func (r *Remote) reserveLocally(ctx context.Context, req *classifier.Request, excluded []string, shard sharder.Shard, retry <-chan struct{}) (res *reservation, err error) {
+func (r *Remote) reserveLocally(ctx context.Context, w want, shard sharder.Shard, retry <-chan struct{}) (res *reservation, err error) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -325,14 +351,14 @@
 		case <-waitCtx.Done():
 		}
 	}()
-	upstream, err := r.Local.awaitSlot(waitCtx, shard.Upstreams, req, excluded)
+	upstream, err := r.Local.awaitSlot(waitCtx, shard.Upstreams, w.request, w.excluded)
 	if err != nil {
 		if waitCtx.Err() != nil {
 			return nil, ctx.Err()
 		}
 		return nil, err
 	}
-	res = r.addReservation(req, excluded, shard.ID)
+	res = r.addReservation(w, shard.ID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	res.isLocal = true
--- a/daemon/reserver/spill.go
+++ b/daemon/reserver/spill.go
@@ -26,23 +26,23 @@
 // region can't serve in time. isRequired means that the region has no upstream of
 // the pool. Then the volume is counted but not limited by the budget, since the
 // operators have placed the pool elsewhere.
-func (r *Remote) spill(ctx context.Context, req *classifier.Request, excluded []string, isRequired bool) (res *reservation, err error) {
+func (r *Remote) spill(ctx context.Context, w want, isRequired bool) (res *reservation, err error) {
 	var refused, unreachable error
 	layout := r.Assigner.Current().Layout
 	for _, region := range layout.Nearest(r.View.Self().Region) {
-		shards := r.rankedShards(region, req)
+		shards := r.rankedShards(region, w.request)
 		if len(shards) == 0 {
 			continue
 		}
-		bytes := estimateVolume(req, assumedTokens)
-		if !r.chargeVolume(req.Tier, bytes, isRequired) {
+		bytes := estimateVolume(w.request, assumedTokens)
+		if !r.chargeVolume(w.request.Tier, bytes, isRequired) {
 			break
 		}
-		if res, err = r.reserveAny(ctx, req, excluded, shards); err == nil {
+		if res, err = r.reserveAny(ctx, w, shards); err == nil {
 			res.chargedBytes = bytes
 			return res, nil
 		}
-		r.chargeVolume(req.Tier, -bytes, true)
+		r.chargeVolume(w.request.Tier, -bytes, true)
 		switch {
 		case ctx.Err() != nil:
 			return nil, err
@@ -52,14 +52,14 @@
 			refused = cmp.Or(refused, err)
 		}
 	}
-	return nil, cmp.Or(refused, unreachable, error(errNoUpstream(req.Pool)))
+	return nil, cmp.Or(refused, unreachable, error(errNoUpstream(w.request.Pool)))
 }
 
 // reserveAny asks the shards one after the other and returns the first slot, or
 // the last error.
-func (r *Remote) reserveAny(ctx context.Context, req *classifier.Request, excluded []string, shards []sharder.Shard) (res *reservation, err error) {
+func (r *Remote) reserveAny(ctx context.Context, w want, shards []sharder.Shard) (res *reservation, err error) {
 	for _, shard := range shards {
-		res, err = r.reserveAt(ctx, req, excluded, shard)
+		res, err = r.reserveAt(ctx, w, shard)
 		if err == nil || ctx.Err() != nil {
 			return res, err
 		}
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -26,6 +26,10 @@
 		s.refuse(a, ReasonDeadline)
 		return
 	}
+	if m.ObjectiveOnly && eval.best == nil && s.missesObjective(a, eval.minFirstTokenMS) {
+		s.refuse(a, ReasonObjective)
+		return
+	}
 	a.entry = queuer.Entry[*ask]{Organisation: m.Organisation, Kind: m.Route, Cost: max(eval.minTotalMS, 1), Value: a}
 	s.recordOffer(a, eval.minTotalMS)
 	a.assignLane(s.now, eval.minTotalMS, eval.minFirstTokenMS)
--- a/daemon/scheduler/lanes.go
+++ b/daemon/scheduler/lanes.go
@@ -75,6 +75,19 @@
 	return waiting >= minWaitingForPace && s.pace.expectedWaitMS(s.now, a.entry.Tier, waiting+1) > float64(a.latestStart-s.now)
 }
 
+// missesObjective reports whether an ask that can't be served at once is expected to miss its
+// objective behind the asks that are at least as important.
+func (s *State) missesObjective(a *ask, minFirstTokenMS float64) bool {
+	if a.Objective <= 0 {
+		return false
+	}
+	ahead := 0
+	for lane := range tierLane(a.Tier) + 1 {
+		ahead += s.queue.Waiting(lane)
+	}
+	return float64(ahead+1)*s.pace.meanGapMS+minFirstTokenMS > float64(a.Objective-s.now)
+}
+
 // enqueue adds an ask to its lane, and may evict another one from a full queue.
 // It returns false, without adding it, if its caller would leave before its turn.
 func (s *State) enqueue(a *ask) bool {
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -36,6 +36,9 @@
 	Idempotent   bool     `json:"idempotent"`
 	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
 	Fingerprint  uint64   `json:"fingerprint"`
+	// ObjectiveOnly is set if the ask is refused at once where it would miss its objective,
+	// because it can be made elsewhere.
+	ObjectiveOnly bool `json:"objective_only,omitempty"`
 	// Excluded names upstreams on which earlier attempts failed.
 	Excluded []string `json:"excluded,omitempty"`
 }
@@ -192,6 +195,8 @@
 	ReasonQueueFull
 	// ReasonNoUpstream means that no upstream serves the ask.
 	ReasonNoUpstream
+	// ReasonObjective means that the ask would miss its objective and can be made elsewhere.
+	ReasonObjective
 )
 
 // Refuse refuses an ask on arrival or after it waited.
--- a/daemon/scheduler/named_limit_test.go
+++ b/daemon/scheduler/named_limit_test.go
@@ -146,3 +146,23 @@
 		})
 	}
 }
+
+// TestAskThatCanGoElsewhereIsRefusedAtOnce guards against an ask that waits past its objective where
+// another region may meet it, and against one that is refused although it need not wait.
+func TestAskThatCanGoElsewhereIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(4)
+	h.settle()
+	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Limited: true, Limit: 1})
+	h.countGrants(30 * clock.Second)
+	for elapsed := range 2 {
+		h.nextNumber++
+		ask := h.newAsk(h.nextNumber, 0)
+		ask.Objective, ask.Patience, ask.ObjectiveOnly = h.now+600, h.now+2000, true
+		h.send(ask)
+		_, refused := h.refused[ask.ID.Number]
+		if wantRefused := elapsed == 0; refused != wantRefused {
+			t.Errorf("%d s after the last grants: refused %v, granted %v", elapsed, refused, h.granted[ask.ID.Number])
+		}
+		h.advance(1 * clock.Second)
+	}
+}
