--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -74,6 +74,8 @@
 		return "queue_full"
 	case wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM:
 		return "no_upstream"
+	case wire.RefusalReason_REFUSAL_REASON_OBJECTIVE:
+		return "objective"
 	case wire.RefusalReason_REFUSAL_REASON_NOT_SCHEDULER, wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED:
 		return "other"
 	default:
--- a/replayer/runner/record.go
+++ b/replayer/runner/record.go
@@ -19,6 +19,7 @@
 		Deadline   int `json:"deadline"`
 		Full       int `json:"full"`
 		NoUpstream int `json:"no_upstream"`
+		Objective  int `json:"objective"`
 	} `json:"refused"`
 	Withdrawn int `json:"withdrawn"`
 	// LowestTier is the lowest admitted tier as last reported.
@@ -79,5 +80,7 @@
 		s.Refused.Full++
 	case scheduler.ReasonNoUpstream:
 		s.Refused.NoUpstream++
+	case scheduler.ReasonObjective:
+		s.Refused.Objective++
 	}
 }
