A scheduler that is cut off halves the limits that upstreams name

Found by a scenario in virtual time: a scheduler that is cut off from all others, and takes them for alive, as it does for a minute in a large fleet, goes on with the whole limit of an upstream beside its successor: 19 requests in 4 s where 18.2 are allowed (8 daemons, TestNamedLimitHoldsWhileSchedulersChange). It knows by the last packet of any other daemon; after 3 s without one it uses 0.45.

So a new scheduler needs less caution: 3 s instead of 6 s at 0.45, which the scenario with two schedulers for 3 s covers. All sizes and scenarios pass (SOAK=1).

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -61,10 +61,10 @@
 	Service peerService `group:"peer_services"`
 }
 
-func newGranter(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, flightRecorder *recorder.Recorder, registerer prometheus.Registerer) granterResult {
+func newGranter(source inventory.Source, members *gossiper.Gossiper, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, flightRecorder *recorder.Recorder, registerer prometheus.Registerer) granterResult {
 	var shardCount atomic.Int64
 	g := &granter.Granter{
-		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
+		Source: source, View: members, LastContact: members.LastContact, Assigner: a, Clock: c, Registerer: registerer,
 		NewDecider: func() granter.Decider {
 			return &recorder.RecordedScheduler{Recorder: flightRecorder, Shard: fmt.Sprint("shard-", shardCount.Add(1))}
 		},
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -31,6 +31,9 @@
 	// reconnectGrace is how long a daemon keeps its slots after its session
 	// ended.
 	reconnectGrace = 5 * clock.Second
+	// isolationTime is how long a daemon may hear of no other, which send something each
+	// second, before it may be cut off from all of them.
+	isolationTime = 3 * clock.Second
 )
 
 // Decider is the pure scheduler of one shard.
@@ -46,6 +49,9 @@
 	View     gossiper.View
 	Assigner *sharder.Assigner
 	Clock    clock.Clock
+	// LastContact returns when this daemon last heard of any other, and false if it never
+	// did; nil means that it hears of them all the time.
+	LastContact func() (at clock.Millis, found bool)
 	// NewDecider returns the scheduler for a shard that starts here.
 	NewDecider func() Decider
 	// Observer is called when a granted request ends; it may be nil.
@@ -167,6 +173,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.census.Track(now, assignment.Members)
+	divided := g.census.MaySeeSmallerSide() || g.isIsolated(now, len(assignment.Members))
 	for id, r := range g.runners {
 		if owner, found := assignment.Scheduler(id); !found || owner.Name != self {
 			delete(g.runners, id)
@@ -175,16 +182,26 @@
 	}
 	for _, shard := range assignment.Layout.Shards() {
 		if owner, _ := assignment.Scheduler(shard.ID); owner.Name == self {
-			g.ensureRunner(shard, config)
+			g.ensureRunner(shard, config, divided)
 		}
 	}
 	g.closeSilentSessions(now)
 	g.releaseGoneDaemons(now)
 }
 
+// isIsolated reports whether this daemon may be cut off from all others of a fleet.
+func (g *Granter) isIsolated(now clock.Millis, members int) bool {
+	if g.LastContact == nil || members <= 1 {
+		return false
+	}
+	at, found := g.LastContact()
+	return found && now-at > isolationTime
+}
+
 // ensureRunner starts the shard unless it runs, and gives it the current
-// configuration. It is called with mu held.
-func (g *Granter) ensureRunner(shard sharder.Shard, config *inventory.Config) {
+// configuration; divided tells whether other daemons may schedule it too. It is called with
+// mu held.
+func (g *Granter) ensureRunner(shard sharder.Shard, config *inventory.Config, divided bool) {
 	if g.ctx == nil || g.ctx.Err() != nil {
 		return
 	}
@@ -197,7 +214,7 @@
 		}
 	}
 	r.latestConfig.Store(g.shardConfigs.configFor(shard, config))
-	r.fleetDivided.Store(g.census.MaySeeSmallerSide())
+	r.fleetDivided.Store(divided)
 	if !found {
 		g.runnerGroup.Go(func() { g.runShard(r) })
 	}
--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -72,13 +72,15 @@
 }
 
 type limitedNode struct {
-	fleet   *limitedFleet
-	name    string
-	region  string
-	granter *granter.Granter
-	remote  *reserver.Remote
-	ctx     context.Context
-	stop    context.CancelFunc
+	fleet  *limitedFleet
+	name   string
+	region string
+	// isolatedAt is when the daemon was cut off from all others, 0 for never.
+	isolatedAt clock.Millis
+	granter    *granter.Granter
+	remote     *reserver.Remote
+	ctx        context.Context
+	stop       context.CancelFunc
 }
 
 // Now implements clock.Clock.
@@ -140,6 +142,7 @@
 	assigner := &sharder.Assigner{Source: f.source, View: v, Clock: f}
 	n.granter = &granter.Granter{
 		Source: f.source, View: v, Assigner: assigner, Clock: f, NewDecider: func() granter.Decider { return &scheduler.State{} },
+		LastContact: n.lastContact,
 	}
 	n.remote = &reserver.Remote{
 		Source: f.source, View: v, Assigner: assigner, Clock: f, Dial: n.dial,
@@ -229,6 +232,15 @@
 	}
 }
 
+func (n *limitedNode) lastContact() (at clock.Millis, found bool) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	if n.isolatedAt > 0 {
+		return n.isolatedAt, true
+	}
+	return n.fleet.Now(), true
+}
+
 // objective is the latency objective of the requests, patience the time after which callers leave.
 const (
 	objective = 600 * clock.Millisecond
@@ -422,10 +434,16 @@
 				f.cut[[2]string{m.Name, scheduler.name}] = i%2 == 0 && m.Name != scheduler.name
 			}
 		},
-		"half of the daemons see another scheduler for 2 s": func(f *limitedFleet) {
+		"half of the daemons see another scheduler for 3 s": func(f *limitedFleet) {
 			scheduler := f.scheduler()
 			f.setView(f.names(2), func(name string) bool { return name != scheduler.name })
-			time.AfterFunc(2*time.Second, f.unifyViews)
+			time.AfterFunc(3*time.Second, f.unifyViews)
+		},
+		"the scheduler is cut off, and takes the others for alive": func(f *limitedFleet) {
+			scheduler := f.scheduler()
+			f.setView([]string{scheduler.name}, func(string) bool { return true })
+			f.isolate(scheduler)
+			time.AfterFunc(deathNotice, func() { f.removeMember(scheduler.name) })
 		},
 		"the fleet is cut in two":   func(f *limitedFleet) { f.split(2) },
 		"the fleet is cut in three": func(f *limitedFleet) { f.split(3) },
@@ -469,6 +487,16 @@
 	f.views = map[string][]gossiper.Member{}
 }
 
+// isolate cuts a daemon off from all others.
+func (f *limitedFleet) isolate(n *limitedNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		f.cut[[2]string{m.Name, n.name}] = m.Name != n.name
+	}
+	n.isolatedAt = clock.Hour + clock.FromDuration(f.since())
+}
+
 // split cuts the fleet into parts that can't reach each other. Each part notices after
 // deathNotice.
 func (f *limitedFleet) split(parts int) {
--- a/daemon/scheduler/named_limit.go
+++ b/daemon/scheduler/named_limit.go
@@ -19,7 +19,7 @@
 	unsureShare = 0.45
 	// takeoverTime is how long after this scheduler has got an upstream another one may
 	// still grant slots on it, because the daemons learn of the change one by one.
-	takeoverTime = 6 * clock.Second
+	takeoverTime = 3 * clock.Second
 	// reportedChange is the least ratio of two limits between which a change is reported to
 	// the daemons: they need no more than the order of magnitude.
 	reportedChange = 1.25
