An upstream that says it leaves gets nothing more

What callers saw: nothing yet. Same cause as the limits: what an upstream says of itself was not read; only its entry in the register counted.

Change: noticer keeps that an upstream leaves for its lifetime, also while its entry lapses. The daemon checks before each send and names such upstreams in its asks; the scheduler grants no slot on them and tells the other daemons.

Failed before: TestHostedWorkerThatSaysItLeavesGetsNoRequests, 1,112 requests later than 2.5 s after the first such answer.

--- /dev/null
+++ b/daemon/granter/notices.go
@@ -0,0 +1,53 @@
+package granter
+
+import (
+	"maps"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/common/logger"
+	"yuccaspread/common/wire"
+	"yuccaspread/daemon/scheduler"
+)
+
+// broadcastNotice tells all daemons with a session that an upstream says something else of
+// itself. Those that lose this scheduler use it, and tell the next one.
+func (r *runner) broadcastNotice(e scheduler.NoticeChanged) {
+	klog.InfoS("scheduler learned what an upstream says of itself", logger.KeyUpstream, e.Upstream, "shard", r.id, "limited", e.Limited,
+		"limit_per_s", e.Limit, "leaving", e.Leaving, "heard_ms_ago", r.granter.Clock.Now()-e.HeardAt)
+	if e.Limited || e.Leaving {
+		r.notices[e.Upstream] = e
+	} else {
+		delete(r.notices, e.Upstream)
+	}
+	r.granter.mu.Lock()
+	sessions := slices.Collect(maps.Values(r.granter.sessions))
+	r.granter.mu.Unlock()
+	for _, s := range sessions {
+		s.deliver(noticeMessage(r.id, e, r.granter.Clock.Now()))
+	}
+}
+
+// sendNotices tells a daemon with a new session what upstreams say of themselves.
+func (r *runner) sendNotices(s *Session) {
+	for _, e := range r.notices {
+		s.deliver(noticeMessage(r.id, e, r.granter.Clock.Now()))
+	}
+}
+
+// forgetNotices forgets the upstreams that are not in the list, sorted by name.
+func (r *runner) forgetNotices(upstreams []inventory.Upstream) {
+	maps.DeleteFunc(r.notices, func(name string, _ scheduler.NoticeChanged) bool {
+		_, found := inventory.Lookup(upstreams, name)
+		return !found
+	})
+}
+
+func noticeMessage(shard string, e scheduler.NoticeChanged, now clock.Millis) *wire.ReserveDown {
+	return &wire.ReserveDown{Message: &wire.ReserveDown_Notice{Notice: &wire.UpstreamNotice{
+		Shard: shard, Upstream: e.Upstream, HeardMsAgo: int64(max(now-e.HeardAt, 0)), Limited: e.Limited, Limit: e.Limit, Leaving: e.Leaving,
+	}}}
+}
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -72,8 +72,8 @@
 	// appliedDivided is what the scheduler has received.
 	fleetDivided   atomic.Bool
 	appliedDivided bool
-	// limits holds the limits that upstreams name, as the daemons were told of them.
-	limits map[string]scheduler.LimitChanged
+	// notices holds what upstreams say of themselves, as the daemons were told of it.
+	notices map[string]scheduler.NoticeChanged
 	// asks and waiting, the number of asks without a grant, are used only by the
 	// runner's goroutine.
 	asks    map[scheduler.AskID]*askState
@@ -84,7 +84,7 @@
 func newRunner(g *Granter, shard sharder.Shard) *runner {
 	return &runner{
 		granter: g, id: shard.ID, pool: shard.Pool, inputs: ring.NewQueue[input](shardRingSize), decider: g.NewDecider(),
-		asks: map[scheduler.AskID]*askState{}, limits: map[string]scheduler.LimitChanged{}, stopped: make(chan struct{}),
+		asks: map[scheduler.AskID]*askState{}, notices: map[string]scheduler.NoticeChanged{}, stopped: make(chan struct{}),
 	}
 }
 
@@ -119,7 +119,7 @@
 		}
 		if next.upstreams != r.appliedConfig.upstreams {
 			r.update(*next.upstreams)
-			r.forgetLimits(next.upstreams.List)
+			r.forgetNotices(next.upstreams.List)
 		}
 		r.appliedConfig = *next
 	}
@@ -230,7 +230,7 @@
 	daemon := in.goneDaemon
 	if in.allAnnounced {
 		daemon = in.session.daemon
-		r.sendLimits(in.session)
+		r.sendNotices(in.session)
 	}
 	hasClaimed := false
 	var unclaimed []scheduler.AskID
@@ -272,8 +272,8 @@
 			r.sendRefusal(e)
 		case scheduler.Withdraw:
 			r.sendWithdrawal(e)
-		case scheduler.LimitChanged:
-			r.broadcastLimit(e)
+		case scheduler.NoticeChanged:
+			r.broadcastNotice(e)
 		case scheduler.LowestTier:
 			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
 			r.granter.lowestTiers.TryPush(lowestTier{shard: r.id, lowest: e.Lowest})
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -17,7 +17,7 @@
 		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: int(a.GetTier()),
 		Deadline: now + clock.Millis(a.GetRemainingMs()), PromptTokens: int(a.GetPromptTokens()),
 		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
-		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), ObjectiveOnly: a.GetObjectiveOnly(),
+		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), ObjectiveOnly: a.GetObjectiveOnly(), Avoided: a.GetAvoided(),
 	}
 	if a.GetHasObjective() {
 		ask.Objective = now + clock.Millis(a.GetObjectiveMs())
@@ -60,6 +60,7 @@
 func toNotice(now clock.Millis, n *wire.UpstreamNotice) input {
 	return input{message: scheduler.Notice{
 		Upstream: n.GetUpstream(), HeardAt: now - clock.Millis(max(n.GetHeardMsAgo(), 0)), Limited: n.GetLimited(), Limit: n.GetLimit(),
+		Leaving: n.GetLeaving(),
 	}}
 }
 
--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -27,17 +27,24 @@
 	RetryAfter clock.Millis
 }
 
-// isEmpty reports whether the upstream said nothing of itself.
-func (n Notice) isEmpty() bool { return n == Notice{} }
-
-// Limit is a limit that an upstream named.
-type Limit struct {
-	// PerSecond is the number of requests that it accepts from all daemons together.
-	PerSecond float64
-	// HeardAt is when the answer came.
+// Word is what an upstream is known to say of itself.
+type Word struct {
+	// Limited is set if the upstream named a limit in its latest answer, and Limit is that
+	// limit, in requests per second for all daemons together.
+	Limited bool
+	Limit   float64
+	// Leaving is set once the upstream has said that it is about to stop.
+	Leaving bool
+	// HeardAt is when the latest answer came, here or at another daemon.
 	HeardAt clock.Millis
+
+	// unlistedAt is when the upstream was first missing in the list, 0 while it is listed.
+	unlistedAt clock.Millis
 }
 
+// isEmpty reports whether the upstream said nothing of itself.
+func (w Word) isEmpty() bool { return !w.Limited && !w.Leaving }
+
 // Noticer keeps the notices of upstreams. Its exported fields are set before use; it is
 // safe for concurrent use.
 type Noticer struct {
@@ -46,25 +53,17 @@
 
 	once    sync.Once
 	notices *prometheus.CounterVec
-	// size is the number of entries in latest.
+	// size is the number of entries in words.
 	size atomic.Int64
 
 	mu sync.Mutex
-	// latest holds the last notice of each upstream whose last notice is not empty, by
-	// the name of the upstream.
-	latest map[string]heard
-}
-
-// heard is a notice and when it was heard.
-type heard struct {
-	Notice
-
-	at clock.Millis
+	// words holds the word of each upstream that has said something of itself.
+	words map[string]Word
 }
 
 func (n *Noticer) prepare() {
 	n.once.Do(func() {
-		n.latest = map[string]heard{}
+		n.words = map[string]Word{}
 		n.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccaspread_upstream_notices_total", Help: "Answers in which upstreams said something of themselves, by what it was.",
 		}, []string{"kind"})
@@ -79,38 +78,39 @@
 	n.prepare()
 	n.count(notice)
 	n.mu.Lock()
-	before := n.latest[upstream]
-	if notice.isEmpty() {
-		delete(n.latest, upstream)
-	} else {
-		n.latest[upstream] = heard{notice, now}
-	}
-	n.size.Store(int64(len(n.latest)))
+	before := n.words[upstream]
+	word := Word{Limited: notice.Limited, Limit: notice.Limit, Leaving: before.Leaving || notice.Leaving, HeardAt: now}
+	n.store(upstream, word)
 	n.mu.Unlock()
-	if before.Notice != notice {
+	if word.Limited != before.Limited || word.Limit != before.Limit || word.Leaving != before.Leaving {
 		klog.InfoS("upstream changed what it says of itself", logger.KeyRequest, request, logger.KeyUpstream, upstream,
-			"limited", notice.Limited, "limit_per_s", notice.Limit, "limited_before", before.Limited, "limit_per_s_before", before.Limit,
-			"leaving", notice.Leaving, "retry_after_ms", notice.RetryAfter)
+			"limited", word.Limited, "limit_per_s", word.Limit, "limited_before", before.Limited, "limit_per_s_before", before.Limit,
+			"leaving", word.Leaving, "leaving_before", before.Leaving)
+	}
+}
+
+// store is called with mu held.
+func (n *Noticer) store(upstream string, word Word) {
+	if word.isEmpty() {
+		delete(n.words, upstream)
+	} else {
+		n.words[upstream] = word
 	}
+	n.size.Store(int64(len(n.words)))
 }
 
-// Learn takes what another daemon heard of an upstream's limit, unless this one has heard of it
-// later.
-func (n *Noticer) Learn(heardAt clock.Millis, upstream string, notice Notice) {
+// Learn takes what another daemon heard of an upstream, unless this one has heard of it later.
+func (n *Noticer) Learn(upstream string, word Word) {
 	n.prepare()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	entry, found := n.latest[upstream]
-	if found && entry.at >= heardAt {
-		return
+	known, found := n.words[upstream]
+	leaving := known.Leaving || word.Leaving
+	if found && known.HeardAt >= word.HeardAt {
+		word = known
 	}
-	entry.Limited, entry.Limit, entry.at = notice.Limited, notice.Limit, heardAt
-	if entry.isEmpty() {
-		delete(n.latest, upstream)
-	} else {
-		n.latest[upstream] = entry
-	}
-	n.size.Store(int64(len(n.latest)))
+	word.Leaving = leaving
+	n.store(upstream, word)
 }
 
 // count counts what a notice says.
@@ -126,28 +126,43 @@
 	}
 }
 
-// LimitOf returns the limit that an upstream named in its last answer to this daemon.
-func (n *Noticer) LimitOf(upstream string) (limit Limit, named bool) {
+// WordOf returns what an upstream is known to say of itself; found is false for nothing.
+func (n *Noticer) WordOf(upstream string) (word Word, found bool) {
 	if n.size.Load() == 0 {
-		return limit, false
+		return word, false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	entry := n.latest[upstream]
-	return Limit{PerSecond: entry.Limit, HeardAt: entry.at}, entry.Limited
+	word, found = n.words[upstream]
+	return word, found
 }
 
-// Retain forgets the upstreams for which listed returns false.
-func (n *Noticer) Retain(listed func(upstream string) bool) {
+// Avoids reports whether an upstream must get no requests.
+func (n *Noticer) Avoids(upstream string) bool {
+	word, _ := n.WordOf(upstream)
+	return word.Leaving
+}
+
+// wordRetention is how long the word of an upstream is kept after it was last listed: an entry of
+// the list may lapse and come back.
+const wordRetention = 1 * clock.Minute
+
+// Retain forgets the upstreams for which listed has returned false for wordRetention.
+func (n *Noticer) Retain(now clock.Millis, listed func(upstream string) bool) {
 	if n.size.Load() == 0 {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for upstream := range n.latest {
-		if !listed(upstream) {
-			delete(n.latest, upstream)
+	for upstream, word := range n.words {
+		switch {
+		case listed(upstream):
+			word.unlistedAt = 0
+		case word.unlistedAt == 0:
+			word.unlistedAt = now
+		case now-word.unlistedAt > wordRetention:
+			word = Word{}
 		}
+		n.store(upstream, word)
 	}
-	n.size.Store(int64(len(n.latest)))
 }
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -5,6 +5,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/sharder"
 )
 
 // confirmTransit is the time that a confirmation may take to reach the scheduler.
@@ -166,7 +167,7 @@
 			res.handleRefusal(m.Refusal)
 		}
 	case *wire.ReserveDown_Notice:
-		r.learnLimit(l, m.Notice)
+		r.learnNotice(l, m.Notice)
 	case *wire.ReserveDown_Withdrawal:
 		if res := r.reservationOn(l, m.Withdrawal.GetAskId()); res != nil && !res.isWithdrawn {
 			res.isWithdrawn = true
@@ -199,7 +200,7 @@
 	}
 	r.markHeld(res, upstream, grant.GetVersion())
 	res.limited = grant.GetLimited()
-	r.recordKnownLimit(upstream.Name, res.limited, scheduled{res.link, res.shard})
+	r.checkScheduled(res)
 	res.expiresAt = res.grantedAt + clock.Millis(grant.GetExpiresMs()) - confirmTransit
 	res.deliverResult(askResult{})
 }
@@ -228,7 +229,7 @@
 	r := res.remote
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() {
+	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() || r.Noticer.Avoids(res.upstream.Name) {
 		return false
 	}
 	res.confirmed = true
@@ -339,9 +340,10 @@
 	return ask
 }
 
-func (res *reservation) askMessage(notices []*wire.UpstreamNotice) *wire.ReserveUp {
+// askMessage returns the ask of a reservation to the scheduler of a shard.
+func (r *Remote) askMessage(res *reservation, l *link, shard sharder.Shard) *wire.ReserveUp {
 	ask := res.wireAsk()
-	ask.Notices, ask.ObjectiveOnly = notices, res.objectiveOnly
+	ask.Notices, ask.Avoided, ask.ObjectiveOnly = r.unknownNotices(l, shard), r.avoidedUpstreams(shard), res.objectiveOnly
 	return &wire.ReserveUp{Message: &wire.ReserveUp_Ask{Ask: ask}}
 }
 
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -24,7 +24,7 @@
 		res.reportSent(now)
 		hasWaiting[res.link] = hasWaiting[res.link] || res.stage == stageWaiting
 	}
-	r.forgetGoneUpstreams()
+	r.forgetGoneUpstreams(now)
 	wasPaused := now-r.reconciledAt > pauseThreshold
 	r.reconciledAt = now
 	for _, l := range r.links {
--- a/daemon/reserver/limited_share.go
+++ b/daemon/reserver/limited_share.go
@@ -20,8 +20,8 @@
 	minSharedRate = 0.2
 )
 
-// limitedShare is what this daemon may send, without a scheduler, to upstreams that name a
-// limit. The zero value permits all. It is not safe for concurrent use.
+// limitedShare is what this daemon may send, without a scheduler, to upstreams that say
+// something of themselves. The zero value permits all. It is not safe for concurrent use.
 type limitedShare struct {
 	noticer *noticer.Noticer
 	// isSharer reports whether this daemon is one of the limitSharers of an upstream.
@@ -39,8 +39,11 @@
 	if s.noticer == nil {
 		return true
 	}
-	limit, named := s.noticer.LimitOf(upstream)
-	if !named {
+	word, _ := s.noticer.WordOf(upstream)
+	if word.Leaving {
+		return false
+	}
+	if !word.Limited {
 		return true
 	}
 	if !s.isSharer(upstream) {
@@ -50,7 +53,7 @@
 	if allowance == nil {
 		return true
 	}
-	allowance.Fill(now, max(sharedPart*limit.PerSecond, minSharedRate)/limitSharers, 1)
+	allowance.Fill(now, max(sharedPart*word.Limit, minSharedRate)/limitSharers, 1)
 	return allowance.Has()
 }
 
@@ -59,7 +62,7 @@
 	if s.noticer == nil {
 		return
 	}
-	if _, named := s.noticer.LimitOf(upstream); !named {
+	if word, _ := s.noticer.WordOf(upstream); !word.Limited {
 		return
 	}
 	allowance := s.allowances[upstream]
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -10,77 +10,93 @@
 	"yuccaspread/daemon/sharder"
 )
 
-// scheduled names the stream and the shard over which a scheduler is known to know of an
-// upstream's limit.
+// scheduled names the stream and the shard over which a scheduler is known to know what an
+// upstream says of itself, and what that is.
 type scheduled struct {
-	link  *link
-	shard string
+	link             *link
+	shard            string
+	limited, leaving bool
 }
 
-// Hear implements Slot. The scheduler is told of each answer of an upstream that has a limit,
-// as far as the upstream, or the scheduler with its grant, says so.
+// Hear implements Slot. The scheduler is told of each answer in which an upstream says
+// something of itself, and of those that end a limit of which the scheduler knows.
 func (res *reservation) Hear(notice noticer.Notice) {
 	r := res.remote
 	r.Noticer.Observe(r.Clock.Now(), res.request.ID, res.upstream.Name, notice)
 	r.mu.Lock()
 	l, limited := res.link, res.limited
 	r.mu.Unlock()
-	if l != nil && (notice.Limited || limited) {
+	if l != nil && (notice.Limited || notice.Leaving || limited) {
 		l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_Notice{Notice: &wire.UpstreamNotice{
-			Shard: res.shard, Upstream: res.upstream.Name, Limited: notice.Limited, Limit: notice.Limit,
+			Shard: res.shard, Upstream: res.upstream.Name, Limited: notice.Limited, Limit: notice.Limit, Leaving: notice.Leaving,
 		}}})
 	}
 }
 
-// unknownLimits returns the limits of a shard's upstreams that its scheduler is not known to
-// know. They go with each ask, so that a new scheduler knows them before it grants a slot.
-func (r *Remote) unknownLimits(l *link, shard sharder.Shard) (notices []*wire.UpstreamNotice) {
+// unknownNotices returns what the upstreams of a shard say of themselves, as far as its
+// scheduler is not known to know it. It goes with each ask, so that a new scheduler knows it
+// before it grants a slot.
+func (r *Remote) unknownNotices(l *link, shard sharder.Shard) (notices []*wire.UpstreamNotice) {
 	for _, u := range shard.Upstreams {
-		limit, named := r.Noticer.LimitOf(u.Name)
-		if !named {
+		word, found := r.Noticer.WordOf(u.Name)
+		if !found {
 			continue
 		}
 		r.mu.Lock()
-		isKnown := r.knownLimits[u.Name] == scheduled{l, shard.ID}
+		isKnown := r.scheduledNotices[u.Name] == scheduled{l, shard.ID, word.Limited, word.Leaving}
 		r.mu.Unlock()
 		if !isKnown {
 			notices = append(notices, &wire.UpstreamNotice{
-				Shard: shard.ID, Upstream: u.Name, HeardMsAgo: int64(r.Clock.Now() - limit.HeardAt), Limited: true, Limit: limit.PerSecond,
+				Shard: shard.ID, Upstream: u.Name, HeardMsAgo: int64(r.Clock.Now() - word.HeardAt),
+				Limited: word.Limited, Limit: word.Limit, Leaving: word.Leaving,
 			})
 		}
 	}
 	return notices
 }
 
-// learnLimit takes what a scheduler tells of an upstream. It is called with mu held.
-func (r *Remote) learnLimit(l *link, notice *wire.UpstreamNotice) {
+// avoidedUpstreams returns the upstreams of a shard that must get nothing from this daemon.
+func (r *Remote) avoidedUpstreams(shard sharder.Shard) (names []string) {
+	for _, u := range shard.Upstreams {
+		if r.Noticer.Avoids(u.Name) {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
+// learnNotice takes what a scheduler tells of an upstream. It is called with mu held.
+func (r *Remote) learnNotice(l *link, notice *wire.UpstreamNotice) {
 	heardAt := r.Clock.Now() - clock.Millis(max(notice.GetHeardMsAgo(), 0))
-	r.Noticer.Learn(heardAt, notice.GetUpstream(), noticer.Notice{Limited: notice.GetLimited(), Limit: notice.GetLimit()})
-	r.recordKnownLimit(notice.GetUpstream(), notice.GetLimited(), scheduled{l, notice.GetShard()})
+	r.Noticer.Learn(notice.GetUpstream(), noticer.Word{
+		Limited: notice.GetLimited(), Limit: notice.GetLimit(), Leaving: notice.GetLeaving(), HeardAt: heardAt,
+	})
+	r.scheduledNotices[notice.GetUpstream()] = scheduled{l, notice.GetShard(), notice.GetLimited(), notice.GetLeaving()}
 }
 
-// recordKnownLimit records whether a scheduler knows of an upstream's limit, as its message
-// shows. It is called with mu held.
-func (r *Remote) recordKnownLimit(upstream string, limited bool, by scheduled) {
-	if limited {
-		r.knownLimits[upstream] = by
-	} else {
-		delete(r.knownLimits, upstream)
+// checkScheduled forgets that a scheduler knows of a limit if its grant shows that it does
+// not. It is called with mu held.
+func (r *Remote) checkScheduled(res *reservation) {
+	if known := r.scheduledNotices[res.upstream.Name]; known.limited != res.limited {
+		delete(r.scheduledNotices, res.upstream.Name)
 	}
 }
 
+// retainInterval is the time between two looks for words of upstreams that are gone.
+const retainInterval = 10 * clock.Second
+
 // forgetGoneUpstreams drops what upstreams said that are no longer listed. It is called with
 // mu held.
-func (r *Remote) forgetGoneUpstreams() {
+func (r *Remote) forgetGoneUpstreams(now clock.Millis) {
 	config := r.Source.Current()
-	if config == r.retainedConfig {
+	if config == r.retainedConfig && now-r.retainedAt < retainInterval {
 		return
 	}
-	r.retainedConfig = config
+	r.retainedConfig, r.retainedAt = config, now
 	isListed := func(upstream string) bool {
 		_, found := inventory.Lookup(config.Upstreams, upstream)
 		return found
 	}
-	r.Noticer.Retain(isListed)
-	maps.DeleteFunc(r.knownLimits, func(upstream string, _ scheduled) bool { return !isListed(upstream) })
+	r.Noticer.Retain(now, isListed)
+	maps.DeleteFunc(r.scheduledNotices, func(upstream string, _ scheduled) bool { return !isListed(upstream) })
 }
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -78,10 +78,11 @@
 	// unreachable holds the names of the schedulers that could not be reached at
 	// the last attempt or did not answer.
 	unreachable map[string]bool
-	// knownLimits tells, by upstream, which scheduler knows of its limit.
-	knownLimits map[string]scheduled
+	// scheduledNotices tells, by upstream, what a scheduler knows of its word.
+	scheduledNotices map[string]scheduled
 	// retainedConfig is the configuration by which gone upstreams were last forgotten.
 	retainedConfig *inventory.Config
+	retainedAt     clock.Millis
 	// crossRegionBytes holds the volume sent to other regions, by tier.
 	crossRegionBytes map[int]*hourMeter
 }
@@ -99,7 +100,7 @@
 		r.links = map[string]*link{}
 		r.unreachable = map[string]bool{}
 		r.crossRegionBytes = map[int]*hourMeter{}
-		r.knownLimits = map[string]scheduled{}
+		r.scheduledNotices = map[string]scheduled{}
 		r.Local.GrantedSlots = r.grantedSlots
 		r.Local.limits = limitedShare{noticer: r.Noticer, isSharer: r.isLimitSharer}
 	})
@@ -214,8 +215,8 @@
 	}
 	return slices.ContainsFunc(home, func(shard sharder.Shard) bool {
 		return slices.ContainsFunc(shard.Upstreams, func(u inventory.Upstream) bool {
-			_, named := r.Noticer.LimitOf(u.Name)
-			return named
+			word, _ := r.Noticer.WordOf(u.Name)
+			return word.Limited
 		})
 	})
 }
@@ -304,7 +305,7 @@
 		return nil, false, nil
 	}
 	l.lastUsed.Store(int64(r.Clock.Now()))
-	if err = l.outgoing.Push(ctx, res.askMessage(r.unknownLimits(l, shard))); err != nil {
+	if err = l.outgoing.Push(ctx, r.askMessage(res, l, shard)); err != nil {
 		r.cancelReservation(res)
 		return nil, true, err
 	}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -41,6 +41,8 @@
 	ObjectiveOnly bool `json:"objective_only,omitempty"`
 	// Excluded names upstreams on which earlier attempts failed.
 	Excluded []string `json:"excluded,omitempty"`
+	// Avoided names upstreams that must get nothing from the asking daemon.
+	Avoided []string `json:"avoided,omitempty"`
 }
 
 // Cancel withdraws a waiting ask, or returns a grant that was not used.
@@ -116,13 +118,15 @@
 	Up       bool   `json:"up"`
 }
 
-// Notice is what an upstream said in an answer at HeardAt about the rate of requests, per
-// second, that it accepts from all daemons together; Limited is unset if it named none.
+// Notice is what an upstream said of itself in an answer at HeardAt: the rate of requests, per
+// second, that it accepts from all daemons together, where Limited is unset if it named none,
+// and whether it is about to stop.
 type Notice struct {
 	Upstream string       `json:"upstream"`
 	HeardAt  clock.Millis `json:"heard_ms"`
 	Limited  bool         `json:"limited"`
 	Limit    float64      `json:"limit"`
+	Leaving  bool         `json:"leaving,omitempty"`
 }
 
 // Fleet reports whether this daemon may be on the smaller side of a partition, and another
@@ -221,12 +225,12 @@
 	Lowest int `json:"lowest"`
 }
 
-// LimitChanged reports that an upstream has named a limit, another one, or, if Limited is unset,
-// none any more.
-type LimitChanged Notice
+// NoticeChanged reports that an upstream has named a limit, another one, or, if Limited is unset,
+// none any more, or that it is about to stop.
+type NoticeChanged Notice
 
-func (LimitChanged) effect() {}
-func (Grant) effect()        {}
-func (Refuse) effect()       {}
-func (Withdraw) effect()     {}
-func (LowestTier) effect()   {}
+func (NoticeChanged) effect() {}
+func (Grant) effect()         {}
+func (Refuse) effect()        {}
+func (Withdraw) effect()      {}
+func (LowestTier) effect()    {}
--- a/daemon/scheduler/named_limit.go
+++ b/daemon/scheduler/notices.go
@@ -37,24 +37,41 @@
 	reported float64
 }
 
-// handleNotice takes what a daemon heard of an upstream, unless something newer is known.
+// handleNotice takes what a daemon heard of an upstream. An upstream that is about to stop
+// stays so; of its limit, what was heard last counts.
 func (s *State) handleNotice(m Notice) {
 	u := s.findUpstream(m.Upstream)
-	if u == nil || m.HeardAt < u.limit.heardAt {
+	if u == nil {
 		return
 	}
+	changed := m.Leaving && !u.saysLeaving
+	u.saysLeaving = u.saysLeaving || m.Leaving
+	if m.HeardAt >= u.limit.heardAt {
+		changed = s.setLimit(u, m) || changed
+	}
+	if changed {
+		s.emit(NoticeChanged{
+			Upstream: m.Upstream, HeardAt: u.limit.heardAt, Limited: u.limit.named, Limit: u.limit.perSecond, Leaving: u.saysLeaving,
+		})
+	}
+}
+
+// setLimit sets the limit of an upstream and reports whether the daemons should know of the
+// change.
+func (s *State) setLimit(u *upstream, m Notice) bool {
 	u.limit.heardAt = m.HeardAt
 	if m.Limited && !u.limit.named {
 		u.limit.allowance.Fill(s.now, 0, 0)
 	}
 	s.fillAllowance(u)
-	changed := u.limit.named != m.Limited
+	began := u.limit.named != m.Limited
 	u.limit.named, u.limit.perSecond = m.Limited, m.Limit
 	ratio := max(m.Limit, minNamedRate) / max(u.limit.reported, minNamedRate)
-	if changed || (m.Limited && (ratio >= reportedChange || 1/ratio >= reportedChange)) {
+	if began || (m.Limited && (ratio >= reportedChange || 1/ratio >= reportedChange)) {
 		u.limit.reported = m.Limit
-		s.emit(LimitChanged(m))
+		return true
 	}
+	return false
 }
 
 // limitRate returns the rate, in requests per second, at which an upstream with a limit gets
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -117,7 +117,7 @@
 
 // mayServe reports whether an upstream may serve the ask once it has room.
 func (s *State) mayServe(u *upstream, a *ask) bool {
-	return u.inService() && !slices.Contains(a.Excluded, u.Name) && s.shares.permits(u.version, a)
+	return u.inService() && !slices.Contains(a.Excluded, u.Name) && !slices.Contains(a.Avoided, u.Name) && s.shares.permits(u.version, a)
 }
 
 // hasRoom reports whether an upstream has room for the ask now.
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -40,6 +40,8 @@
 	generationSpeed *estimator.Speed
 	straggler       detector.Straggler
 
+	// saysLeaving is set once it has said in an answer that it is about to stop.
+	saysLeaving bool
 	// limit is the rate that it accepts by its own word; addedAt is when this scheduler
 	// got the upstream.
 	limit   namedLimit
@@ -79,7 +81,7 @@
 
 // inService reports whether the upstream is listed and not about to leave.
 func (u *upstream) inService() bool {
-	return u.listed && !u.Leaving && !u.draining
+	return u.listed && !u.Leaving && !u.draining && !u.saysLeaving
 }
 
 // unmeasured reports whether its speed rests on no valid measurement, so that no
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -47,6 +47,9 @@
 	CrashPart string `json:"crash_part"`
 	// NamedLimit is the limit that all responses name, in requests per second; empty for none.
 	NamedLimit string `json:"named_limit"`
+	// Leaving lets all responses say that the worker is about to stop, which its entry in the
+	// store does not.
+	Leaving bool `json:"leaving"`
 }
 
 // Run records a request that ran on this worker.
@@ -145,6 +148,9 @@
 	if faults.NamedLimit != "" {
 		w.Header().Set("Server-Limit", faults.NamedLimit)
 	}
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
