An upstream that asks for a pause gets one

What callers saw: nothing yet. Same cause as the limits and as leaving: the word of an upstream was not read.

Change: noticer keeps the end of each pause; the daemon checks before each send and names such upstreams in its asks. Where all of a pool pause, requests wait for the first one, or are refused with the time until then.

--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -4,6 +4,7 @@
 package noticer
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -53,17 +54,20 @@
 
 	once    sync.Once
 	notices *prometheus.CounterVec
-	// size is the number of entries in words.
+	// size is the number of entries in words and pauses.
 	size atomic.Int64
 
 	mu sync.Mutex
 	// words holds the word of each upstream that has said something of itself.
 	words map[string]Word
+	// pauses holds until when an upstream wants no requests from this daemon.
+	pauses map[string]clock.Millis
 }
 
 func (n *Noticer) prepare() {
 	n.once.Do(func() {
 		n.words = map[string]Word{}
+		n.pauses = map[string]clock.Millis{}
 		n.notices = prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccaspread_upstream_notices_total", Help: "Answers in which upstreams said something of themselves, by what it was.",
 		}, []string{"kind"})
@@ -81,7 +85,14 @@
 	before := n.words[upstream]
 	word := Word{Limited: notice.Limited, Limit: notice.Limit, Leaving: before.Leaving || notice.Leaving, HeardAt: now}
 	n.store(upstream, word)
+	if notice.RetryAfter > 0 {
+		n.pauses[upstream] = max(n.pauses[upstream], now+notice.RetryAfter)
+		n.updateSize()
+	}
 	n.mu.Unlock()
+	if notice.RetryAfter > 0 {
+		klog.InfoS("upstream wants no requests for a while", logger.KeyRequest, request, logger.KeyUpstream, upstream, "for_ms", notice.RetryAfter)
+	}
 	if word.Limited != before.Limited || word.Limit != before.Limit || word.Leaving != before.Leaving {
 		klog.InfoS("upstream changed what it says of itself", logger.KeyRequest, request, logger.KeyUpstream, upstream,
 			"limited", word.Limited, "limit_per_s", word.Limit, "limited_before", before.Limited, "limit_per_s_before", before.Limit,
@@ -96,9 +107,12 @@
 	} else {
 		n.words[upstream] = word
 	}
-	n.size.Store(int64(len(n.words)))
+	n.updateSize()
 }
 
+// updateSize is called with mu held.
+func (n *Noticer) updateSize() { n.size.Store(int64(len(n.words) + len(n.pauses))) }
+
 // Learn takes what another daemon heard of an upstream, unless this one has heard of it later.
 func (n *Noticer) Learn(upstream string, word Word) {
 	n.prepare()
@@ -137,17 +151,29 @@
 	return word, found
 }
 
-// Avoids reports whether an upstream must get no requests.
-func (n *Noticer) Avoids(upstream string) bool {
+// Avoids reports whether an upstream must get no requests from this daemon now.
+func (n *Noticer) Avoids(now clock.Millis, upstream string) bool {
 	word, _ := n.WordOf(upstream)
-	return word.Leaving
+	return word.Leaving || now < n.PauseEnd(upstream)
+}
+
+// PauseEnd returns until when an upstream wants no requests from this daemon, 0 if it never
+// said so.
+func (n *Noticer) PauseEnd(upstream string) clock.Millis {
+	if n.size.Load() == 0 {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pauses[upstream]
 }
 
 // wordRetention is how long the word of an upstream is kept after it was last listed: an entry of
 // the list may lapse and come back.
 const wordRetention = 1 * clock.Minute
 
-// Retain forgets the upstreams for which listed has returned false for wordRetention.
+// Retain forgets pauses that have ended, and the upstreams for which listed has returned false
+// for wordRetention.
 func (n *Noticer) Retain(now clock.Millis, listed func(upstream string) bool) {
 	if n.size.Load() == 0 {
 		return
@@ -165,4 +191,6 @@
 		}
 		n.store(upstream, word)
 	}
+	maps.DeleteFunc(n.pauses, func(_ string, end clock.Millis) bool { return now >= end })
+	n.updateSize()
 }
--- a/daemon/noticer/noticer_test.go
+++ b/daemon/noticer/noticer_test.go
@@ -45,17 +45,17 @@
 // answer from before it said that it leaves came later.
 func TestUpstreamThatLeavesStaysAvoided(t *testing.T) {
 	var n noticer.Noticer
-	if n.Avoids("u") {
+	if n.Avoids(20, "u") {
 		t.Error("avoided from the start")
 	}
 	n.Observe(10, "r", "u", noticer.Notice{Leaving: true})
 	n.Observe(11, "r", "u", noticer.Notice{})
 	n.Learn("u", noticer.Word{HeardAt: 12})
-	if !n.Avoids("u") || n.Avoids("v") {
+	if !n.Avoids(20, "u") || n.Avoids(20, "v") {
 		t.Error("an upstream that leaves gets requests, or another one none")
 	}
 	n.Learn("v", noticer.Word{Leaving: true, HeardAt: 5})
-	if !n.Avoids("v") {
+	if !n.Avoids(20, "v") {
 		t.Error("another daemon's word does not count")
 	}
 }
@@ -89,3 +89,19 @@
 		t.Errorf("%d requests after an hour without any, the burst is 2", sent)
 	}
 }
+
+// TestPauseHoldsUntilItsEnd guards against a pause that a later answer, or a shorter pause, ends early.
+func TestPauseHoldsUntilItsEnd(t *testing.T) {
+	var n noticer.Noticer
+	n.Observe(1000, "r", "u", noticer.Notice{RetryAfter: 500})
+	n.Observe(1010, "r", "u", noticer.Notice{})
+	n.Observe(1020, "r", "u", noticer.Notice{RetryAfter: 100})
+	n.Retain(1300, func(string) bool { return true })
+	if !n.Avoids(1499, "u") || n.Avoids(1500, "u") || n.PauseEnd("u") != 1500 {
+		t.Errorf("the pause ends at %d", n.PauseEnd("u"))
+	}
+	n.Retain(1600, func(string) bool { return true })
+	if n.PauseEnd("u") != 0 {
+		t.Error("a pause that has ended is kept")
+	}
+}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -229,7 +229,7 @@
 	r := res.remote
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() || r.Noticer.Avoids(res.upstream.Name) {
+	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() || r.Noticer.Avoids(r.Clock.Now(), res.upstream.Name) {
 		return false
 	}
 	res.confirmed = true
--- a/daemon/reserver/limited_share.go
+++ b/daemon/reserver/limited_share.go
@@ -39,10 +39,10 @@
 	if s.noticer == nil {
 		return true
 	}
-	word, _ := s.noticer.WordOf(upstream)
-	if word.Leaving {
+	if s.noticer.Avoids(now, upstream) {
 		return false
 	}
+	word, _ := s.noticer.WordOf(upstream)
 	if !word.Limited {
 		return true
 	}
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -57,9 +57,12 @@
 	return refuser.New(http.StatusServiceUnavailable, "deadline", "no slot came free before the deadline")
 }
 
+// titleNoUpstream is the title of the refusal that errNoUpstream returns.
+const titleNoUpstream = "no upstream"
+
 // errNoUpstream returns the refusal of a request whose pool has no usable upstream.
 func errNoUpstream(pool string) *refuser.Refusal {
-	return refuser.New(http.StatusServiceUnavailable, "no upstream", "no upstream serves pool "+pool)
+	return refuser.New(http.StatusServiceUnavailable, titleNoUpstream, "no upstream serves pool "+pool)
 }
 
 // awaitSlot waits for a slot of the local share on one of the upstreams. The
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -1,7 +1,10 @@
 package reserver
 
 import (
+	"context"
 	"maps"
+	"slices"
+	"time"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
@@ -58,13 +61,36 @@
 // avoidedUpstreams returns the upstreams of a shard that must get nothing from this daemon.
 func (r *Remote) avoidedUpstreams(shard sharder.Shard) (names []string) {
 	for _, u := range shard.Upstreams {
-		if r.Noticer.Avoids(u.Name) {
+		if r.Noticer.Avoids(r.Clock.Now(), u.Name) {
 			names = append(names, u.Name)
 		}
 	}
 	return names
 }
 
+// awaitPause is called when no upstream of a pool serves a request. It waits for the end of the
+// first pause that an upstream has asked for, and reports whether that is in time; else it
+// returns the time until then, 0 if none pauses.
+func (r *Remote) awaitPause(ctx context.Context, w want) (ended bool, left clock.Millis) {
+	now := r.Clock.Now()
+	var end clock.Millis
+	for _, u := range r.Source.Current().Upstreams {
+		if u.Pool != w.request.Pool || u.Leaving || slices.Contains(w.excluded, u.Name) {
+			continue
+		}
+		if pauseEnd := r.Noticer.PauseEnd(u.Name); pauseEnd > now && (end == 0 || pauseEnd < end) {
+			end = pauseEnd
+		}
+	}
+	if end == 0 {
+		return false, 0
+	}
+	if deadline, bounded := ctx.Deadline(); bounded && time.Until(deadline) < (end-now).Duration() {
+		return false, end - now
+	}
+	return clock.Sleep(ctx, end-now), end - now
+}
+
 // learnNotice takes what a scheduler tells of an upstream. It is called with mu held.
 func (r *Remote) learnNotice(l *link, notice *wire.UpstreamNotice) {
 	heardAt := r.Clock.Now() - clock.Millis(max(notice.GetHeardMsAgo(), 0))
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -142,7 +142,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, (waitEnd - startedAt).Duration())
 	defer cancel()
-	res, err := r.reserveAnywhere(waitCtx, want{request: req, excluded: excluded})
+	res, err := r.reserveAfterPauses(waitCtx, want{request: req, excluded: excluded})
 	if err != nil {
 		err = r.toCallerError(ctx, waitCtx, err)
 		span.SetStatus(codes.Error, err.Error())
@@ -172,6 +172,23 @@
 	}
 }
 
+// reserveAfterPauses waits for the end of a pause that an upstream asked for, if no other one
+// serves the request.
+func (r *Remote) reserveAfterPauses(ctx context.Context, w want) (res *reservation, err error) {
+	for {
+		res, err = r.reserveAnywhere(ctx, w)
+		var refusal *refuser.Refusal
+		if !errors.As(err, &refusal) || refusal.Title != titleNoUpstream {
+			return res, err
+		}
+		ended, left := r.awaitPause(ctx, w)
+		if !ended {
+			refusal.RetryAfter = max(refusal.RetryAfter, left)
+			return nil, refusal
+		}
+	}
+}
+
 // reserveAnywhere asks the shards of this daemon's region and then, within the
 // tier's budget, those of other regions. Where all refuse, it returns the
 // refusal of the region's first shard.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -40,6 +40,8 @@
 	BreakEvery int `json:"break_every"`
 	// ShedEvery refuses the request without running it.
 	ShedEvery int `json:"shed_every"`
+	// RetryAfter is the Retry-After of requests that are refused so, in seconds; empty for none.
+	RetryAfter string `json:"retry_after"`
 	// Unhealthy fails health checks with status 503 and affects nothing else.
 	Unhealthy bool `json:"unhealthy"`
 	// CrashPart crashes the process when it would respond to a request whose prompt has
@@ -158,7 +160,13 @@
 	case r.Header.Get(headerAttempt) == "":
 		v.refuseUnexecuted(w, http.StatusBadRequest)
 		return
-	case isEveryNth(index, faults.ShedEvery) || !v.acquireSlot(r):
+	case isEveryNth(index, faults.ShedEvery):
+		if faults.RetryAfter != "" {
+			w.Header().Set("Retry-After", faults.RetryAfter)
+		}
+		v.refuseUnexecuted(w, http.StatusServiceUnavailable)
+		return
+	case !v.acquireSlot(r):
 		v.refuseUnexecuted(w, http.StatusServiceUnavailable)
 		return
 	}
