--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -280,6 +280,7 @@
 		f.unavailable[table] = false
 		klog.InfoS("register answers again; reading continues", "table", table, "version", next)
 	}
+	f.logIgnoredRows(rows)
 	var changes []Change
 	if position == positionUnlisted {
 		changes = f.replica.ApplyListing(table, rows, next)
@@ -295,6 +296,18 @@
 	return next, len(rows) > 0, nil
 }
 
+// logIgnoredRows logs the rows of the register that say something else than what is known and
+// are not taken, because what is known has a version that is not lower. It is called with mu
+// held.
+func (f *Follower) logIgnoredRows(rows []Row) {
+	for _, row := range rows {
+		if known, ignored := f.replica.Ignores(row); ignored {
+			klog.InfoS("row of the register is not newer than the known one and is ignored", "table", row.Table, "key", row.Key,
+				"row_version", row.Version, "known_version", known)
+		}
+	}
+}
+
 // waitForChanges calls the register for changes. It ends the call once the daemon's duty
 // or what peers know shows that it must not wait on.
 func (f *Follower) waitForChanges(ctx context.Context, table string, position int64, timing callTiming) (rows []Row, version int64, err error) {
--- a/daemon/follower/replica.go
+++ b/daemon/follower/replica.go
@@ -6,6 +6,7 @@
 package follower
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"strconv"
@@ -224,6 +225,18 @@
 	return append(changed, Change{Row: row, OldValue: known.Value})
 }
 
+// Ignores reports whether a row says something else than the known one and has no higher
+// version than that, which is returned.
+func (r *Replica) Ignores(row Row) (knownVersion int64, ignored bool) {
+	id := rowID{row.Table, row.Key}
+	known, found := r.rows[id]
+	knownVersion = max(known.Version, r.renewedVersions[id])
+	if !found || row.Version > knownVersion || r.equivalent(known, row) {
+		return knownVersion, false
+	}
+	return knownVersion, known.Removed != row.Removed || !bytes.Equal(known.Value, row.Value)
+}
+
 func (r *Replica) equivalent(known, row Row) bool {
 	return r.Equivalent != nil && !known.Removed && !row.Removed && r.Equivalent(known, row)
 }
