Test that fails: changes after the store was restored are in force

The stand-in of the store can be restored from a copy; its era rises. A change that is written then is not in force 30 s later on three daemons.

--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -6,11 +6,13 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -42,22 +44,56 @@
 
 // Registrar holds the rows and objects. The zero value is empty and ready to use.
 type Registrar struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	contents
+	objects map[string][]byte
+	// restores counts the restores from copied.
+	restores atomic.Int64
+	copied   contents
+	// changed is closed and replaced at every change, to wake the waiting feeds.
+	changed chan struct{}
+	started time.Time
+}
+
+// contents are the rows and their history.
+type contents struct {
 	version int64
 	rows    map[rowID]Row
 	// history holds the changes in the order of their versions. Those up to version
 	// droppedUpTo have been dropped.
 	history     []Row
 	droppedUpTo int64
-	objects     map[string][]byte
-	// changed is closed and replaced at every change, to wake the waiting feeds.
-	changed chan struct{}
-	started time.Time
+}
+
+func (c contents) clone() contents {
+	c.rows, c.history = maps.Clone(c.rows), slices.Clone(c.history)
+	return c
+}
+
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
+// Copy keeps a copy of the rows for Restore.
+func (s *Registrar) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = s.clone()
+}
+
+// Restore replaces the rows by those of the last copy. What was written since is gone, and
+// its versions are given out again.
+func (s *Registrar) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contents = s.copied.clone()
+	s.restores.Add(1)
+	s.notifyFeeds()
 }
 
 // Register adds the handlers to router. The paths under /standin are for tests and
 // for the stand-ins of workers and operators, which may write any table.
 func (s *Registrar) Register(router *mux.Router) {
+	router.Use(s.nameEra)
 	router.HandleFunc("/rows-tx", s.serveTxn).Methods(http.MethodPost)
 	router.HandleFunc("/rows-get", s.serveGetRows).Methods(http.MethodGet)
 	router.HandleFunc("/rows-feed", s.serveFeed).Methods(http.MethodGet)
@@ -66,9 +102,42 @@
 	router.HandleFunc("/blob-get/{id:.+}", s.serveGetObject).Methods(http.MethodGet)
 	router.HandleFunc("/blob-drop/{id:.+}", s.serveDeleteObject).Methods(http.MethodDelete)
 	router.HandleFunc("/standin/rows/{table}/{key:.+}", s.serveEditRow).Methods(http.MethodPut, http.MethodDelete)
+	router.HandleFunc("/standin/copy", func(http.ResponseWriter, *http.Request) { s.Copy() }).Methods(http.MethodPost)
+	router.HandleFunc("/standin/restore", func(http.ResponseWriter, *http.Request) { s.Restore() }).Methods(http.MethodPost)
 	router.HandleFunc("/standin/forget", func(http.ResponseWriter, *http.Request) { s.DropHistory() }).Methods(http.MethodPost)
 }
 
+// nameEra adds the era to all replies.
+func (s *Registrar) nameEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
+	})
+}
+
+// eraWriter adds the era as of the moment of a reply.
+type eraWriter struct {
+	http.ResponseWriter
+
+	store *Registrar
+	named bool
+}
+
+// WriteHeader implements http.ResponseWriter. Handlers that hold the store's lock call it, so
+// that it must not take the lock.
+func (w *eraWriter) WriteHeader(status int) {
+	w.named = true
+	w.Header().Set("Store-Era", strconv.FormatInt(firstEra+w.store.restores.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(piece []byte) (n int, err error) {
+	if !w.named {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(piece)
+}
+
 // Put writes a row of any table.
 func (s *Registrar) Put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -247,7 +316,7 @@
 func (s *Registrar) changesAfter(table string, version int64) (rows []Row, expired bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version < s.droppedUpTo {
+	if version < s.droppedUpTo || version > s.version {
 		return nil, true, nil
 	}
 	for _, row := range s.history {
