Changes after a restore of the register are in force

What callers saw: after a drill in which the store comes back from an older copy, a change that the operator had confirmed was never in force, and a route that it added was answered 404 (CONFIG, DENIED).

Cause: a row was taken for newer by its version alone. The store gives out the versions of what it lost again; what has a version that is known is dropped, here and in each comparison between daemons. Class: a number that orders changes is trusted never to go back.

Change: follower.Version holds the store's era above its number, so that all versions of a later era are higher, in all eleven places that compare them. A call across eras lists anew; a late reply of an earlier era is refused. A listing of a later era brings no upstream back that had left; rows that the copy lacks are held as after an outage.

--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -24,14 +24,15 @@
 
 // Register reads the rows.
 type Register interface {
-	// List returns all rows of a table and the version as of which they were read. It
-	// bounds the time of each reply itself.
-	List(ctx context.Context, table string) (rows []Row, version int64, err error)
+	// List returns all rows of a table and the version as of which they were read, all of
+	// one era. It bounds the time of each reply itself.
+	List(ctx context.Context, table string) (rows []Row, version Version, err error)
 	// Changes returns the rows that changed after a version and the version up to
 	// which these are all changes. If there are none, it blocks for at most wait and
 	// then returns no rows. ctx bounds the time of the reply. The error wraps
-	// ErrHistoryDropped if the register no longer has the changes since that version.
-	Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rows []Row, version int64, err error)
+	// ErrHistoryDropped if the register no longer has the changes since that version, or
+	// is in a later era.
+	Changes(ctx context.Context, table string, after Version, wait clock.Millis) (rows []Row, version Version, err error)
 }
 
 // Decoder decodes the values of rows.
@@ -150,12 +151,12 @@
 		return
 	}
 	f.replica = NewReplica()
-	f.replica.Equivalent = f.equivalentRows
+	f.replica.Equivalent, f.replica.Outdated = f.equivalentRows, f.isOutdated
 	f.decodedUpstreams = map[string]decodedUpstream{}
 	f.unavailable = map[string]bool{}
 	f.freshness = map[string]*freshness{f.Tables.Config: {}, f.Tables.Upstreams: {}}
 	f.withheldReplies = map[string]int{}
-	f.metrics.init(f.Registerer, []string{f.Tables.Config, f.Tables.Upstreams}, f.confirmedAge)
+	f.metrics.init(f.Registerer, []string{f.Tables.Config, f.Tables.Upstreams}, f.confirmedAge, f.knownEra)
 }
 
 // Run replicates the register until ctx ends.
@@ -186,7 +187,7 @@
 
 // followTable reads one table until ctx ends.
 func (f *Follower) followTable(ctx context.Context, table string) {
-	position := int64(positionUnlisted)
+	position := Version(positionUnlisted)
 	pause, failed := minRetryPause, false
 	for ctx.Err() == nil {
 		duty := f.duty()
@@ -250,9 +251,16 @@
 	return f.Clock.Now() - f.freshness[table].confirmedAt
 }
 
+// knownEra returns the era of the register up to which all rows of a table are known.
+func (f *Follower) knownEra(table string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.CompleteVersion(table).Era()
+}
+
 // knownPosition returns the version from which changes of a table have to be read,
 // or positionUnlisted.
-func (f *Follower) knownPosition(table string) int64 {
+func (f *Follower) knownPosition(table string) Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if complete := f.replica.CompleteVersion(table); complete > 0 {
@@ -263,7 +271,7 @@
 
 // readOnce makes one call to the register and applies the rows. It returns the next
 // position.
-func (f *Follower) readOnce(ctx context.Context, table string, position int64, timing callTiming) (next int64, hasRows bool, err error) {
+func (f *Follower) readOnce(ctx context.Context, table string, position Version, timing callTiming) (next Version, hasRows bool, err error) {
 	var rows []Row
 	if position == positionUnlisted {
 		rows, next, err = f.Register.List(ctx, table)
@@ -280,6 +288,7 @@
 		f.unavailable[table] = false
 		klog.InfoS("register answers again; reading continues", "table", table, "version", next)
 	}
+	f.noteEra(table, next)
 	f.logIgnoredRows(rows)
 	var changes []Change
 	if position == positionUnlisted {
@@ -308,9 +317,23 @@
 	}
 }
 
+// noteEra records that the register was restored, if a version is of a later era than what is
+// known of the table. It is called with mu held.
+func (f *Follower) noteEra(table string, version Version) {
+	known := f.replica.CompleteVersion(table)
+	if known == 0 || version.Era() <= known.Era() {
+		return
+	}
+	klog.InfoS("register was restored from a copy; rows that it lacks stay in force for a while", "table", table,
+		"version", version, "known_version", known, "held_ms", rewriteGrace)
+	if table == f.Tables.Upstreams {
+		f.lapses.noteRestore(f.Clock.Now())
+	}
+}
+
 // waitForChanges calls the register for changes. It ends the call once the daemon's duty
 // or what peers know shows that it must not wait on.
-func (f *Follower) waitForChanges(ctx context.Context, table string, position int64, timing callTiming) (rows []Row, version int64, err error) {
+func (f *Follower) waitForChanges(ctx context.Context, table string, position Version, timing callTiming) (rows []Row, version Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (timing.wait + timing.margin).Duration())
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
@@ -474,6 +497,23 @@
 	return err == nil && u == decoded.upstream
 }
 
+// isOutdated implements Replica.Outdated. A copy of the register may hold upstreams that have
+// left, or begun to leave, since.
+func (f *Follower) isOutdated(known, row Row) bool {
+	if row.Table != f.Tables.Upstreams {
+		return false
+	}
+	u, err := f.Decoder.Upstream(row.Key, row.Value)
+	if err != nil || u.Leaving {
+		return false
+	}
+	if known.Removed {
+		return true
+	}
+	before, err := f.Decoder.Upstream(known.Key, known.Value)
+	return err == nil && before.Leaving
+}
+
 func (f *Follower) decodeUpstream(row Row) decodedUpstream {
 	u, err := f.Decoder.Upstream(row.Key, row.Value)
 	if err != nil {
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -19,7 +19,7 @@
 // fakeRegister is a follower.Register whose rows and faults a test sets.
 type fakeRegister struct {
 	mu      sync.Mutex
-	version int64
+	version follower.Version
 	rows    map[string]follower.Row
 	history []follower.Row
 	err     error
@@ -54,7 +54,7 @@
 	r.err = err
 }
 
-func (r *fakeRegister) List(_ context.Context, table string) (rows []follower.Row, version int64, err error) {
+func (r *fakeRegister) List(_ context.Context, table string) (rows []follower.Row, version follower.Version, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls++
@@ -66,7 +66,7 @@
 	return rows, r.version, r.err
 }
 
-func (r *fakeRegister) Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rows []follower.Row, version int64, err error) {
+func (r *fakeRegister) Changes(ctx context.Context, table string, after follower.Version, wait clock.Millis) (rows []follower.Row, version follower.Version, err error) {
 	end := time.Now().Add(wait.Duration())
 	r.mu.Lock()
 	r.calls++
--- a/daemon/follower/lapses.go
+++ b/daemon/follower/lapses.go
@@ -22,7 +22,7 @@
 type heldRow struct {
 	value []byte
 	// removalVersion is the version at which the row was removed.
-	removalVersion int64
+	removalVersion Version
 	// expiresAt is when the row is dropped unless it was written again.
 	expiresAt clock.Millis
 }
@@ -41,6 +41,10 @@
 // don't explain that: the register had an outage although no call has failed.
 func (l *lapseTracker) noteMassRemoval(now clock.Millis) { l.recoveredAt = now }
 
+// noteRestore records that the register was restored from a copy: rows that were written since
+// the copy are missing until they are written again.
+func (l *lapseTracker) noteRestore(now clock.Millis) { l.recoveredAt = now }
+
 // noteChange records a change that was read from the register. A row that is
 // removed within rewriteGrace after the recovery is held until the end of it.
 func (l *lapseTracker) noteChange(now clock.Millis, c Change) {
@@ -69,7 +73,7 @@
 
 // settledVersion returns the highest version, at most newest, up to which no removed
 // row is held.
-func (l *lapseTracker) settledVersion(newest int64) int64 {
+func (l *lapseTracker) settledVersion(newest Version) Version {
 	for _, row := range l.held {
 		newest = min(newest, row.removalVersion-1)
 	}
--- a/daemon/follower/metrics.go
+++ b/daemon/follower/metrics.go
@@ -12,8 +12,8 @@
 }
 
 // init creates the metrics. confirmedAge returns the age of the last confirmation of a
-// table.
-func (m *metrics) init(registerer prometheus.Registerer, tables []string, confirmedAge func(table string) clock.Millis) {
+// table, era the era of its known rows.
+func (m *metrics) init(registerer prometheus.Registerer, tables []string, confirmedAge func(table string) clock.Millis, era func(table string) int64) {
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "yuccaspread_followed_revision", Help: "Revision of the followed configuration that is in force.",
 	})
@@ -29,5 +29,9 @@
 			Name: "yuccaspread_register_confirmed_age_seconds", ConstLabels: prometheus.Labels{"table": table},
 			Help: "Age of the last confirmation, by the register or a peer, that the known rows are current.",
 		}, func() float64 { return confirmedAge(table).Duration().Seconds() }))
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "yuccaspread_register_era", ConstLabels: prometheus.Labels{"table": table},
+			Help: "Era of the known rows, which rises when the register is restored from a copy.",
+		}, func() float64 { return float64(era(table)) }))
 	}
 }
--- a/daemon/follower/news_test.go
+++ b/daemon/follower/news_test.go
@@ -73,12 +73,12 @@
 func newNewsFleet(count, rows int) *newsFleet {
 	f := &newsFleet{random: rand.New(rand.NewPCG(3, uint64(count)))}
 	var table []Row
-	for i := range int64(rows) {
+	for i := range Version(rows) {
 		table = append(table, newContentRow('x', fmt.Sprint(i), i+1))
 	}
 	for i := range count {
 		d := &newsDaemon{follower: newIdleFollower(), index: i, callTime: usualCallTime}
-		d.follower.replica.ApplyListing("t", table, int64(rows))
+		d.follower.replica.ApplyListing("t", table, Version(rows))
 		f.daemons = append(f.daemons, d)
 		f.after(clock.Millis(f.random.IntN(int(syncInterval))), func() { f.syncPeriodically(d) })
 	}
@@ -150,7 +150,7 @@
 
 // latest returns when the last of the daemons learned of the change after a time, or
 // fails the test.
-func (f *newsFleet) latest(t *testing.T, after clock.Millis, version int64) (delay clock.Millis) {
+func (f *newsFleet) latest(t *testing.T, after clock.Millis, version Version) (delay clock.Millis) {
 	t.Helper()
 	for _, d := range f.daemons {
 		if d.follower.replica.NewestVersion("t") < version {
@@ -173,7 +173,7 @@
 				t.Parallel()
 				f := newNewsFleet(count, rows)
 				f.run(2 * clock.Second)
-				version := int64(rows)
+				version := Version(rows)
 				for i := range 5 {
 					version += 3
 					row := newContentRow('y', fmt.Sprint(i), version)
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -312,7 +312,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
-		have = append(have, &wire.TableVersion{Table: table, Version: f.settledVersion(table), ConfirmedMsAgo: f.confirmedMSAgo(table)})
+		have = append(have, &wire.TableVersion{Table: table, Version: int64(f.settledVersion(table)), ConfirmedMsAgo: f.confirmedMSAgo(table)})
 	}
 	return have
 }
@@ -335,7 +335,7 @@
 	defer f.mu.Unlock()
 	for _, v := range peerVersions {
 		known, followed := f.freshness[v.GetTable()]
-		if followed && v.GetConfirmedMsAgo() > 0 && v.GetVersion() <= f.settledVersion(v.GetTable()) {
+		if followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
 			known.confirm(f.Clock.Now() - clock.Millis(v.GetConfirmedMsAgo()))
 		}
 	}
@@ -344,7 +344,7 @@
 // settledVersion returns the version up to which all rows of a table may be sent to
 // peers: a row that may only have lapsed is not sent as removed. It is called with
 // mu held.
-func (f *Follower) settledVersion(table string) int64 {
+func (f *Follower) settledVersion(table string) Version {
 	newest := f.replica.NewestVersion(table)
 	if table == f.Tables.Upstreams {
 		return f.lapses.settledVersion(newest)
@@ -356,7 +356,7 @@
 func (f *Follower) isBehind(peerVersions []*wire.TableVersion) bool {
 	own := versionsByTable(f.knownVersions())
 	for _, v := range peerVersions {
-		if newest, followed := own[v.GetTable()]; followed && v.GetVersion() > newest {
+		if newest, followed := own[v.GetTable()]; followed && Version(v.GetVersion()) > newest {
 			return true
 		}
 	}
@@ -384,7 +384,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range peerVersions {
-		rows, whole, complete := f.rowsSince(v.GetTable(), v.GetVersion())
+		rows, whole, complete := f.rowsSince(v.GetTable(), Version(v.GetVersion()))
 		switch {
 		case whole:
 			out.Whole = append(out.Whole, v.GetTable())
@@ -396,17 +396,17 @@
 			rows = rows[:maxReplyRows]
 			for _, h := range have {
 				if h.GetTable() == v.GetTable() {
-					h.Version, h.ConfirmedMsAgo = rows[maxReplyRows-1].Version, 0
+					h.Version, h.ConfirmedMsAgo = int64(rows[maxReplyRows-1].Version), 0
 				}
 			}
 		}
 		out.Complete = append(out.Complete, v.GetTable())
-		for _, gap := range f.replica.listingGapsSince(v.GetTable(), v.GetVersion()) {
-			out.Gaps = append(out.Gaps, &wire.VersionGap{Table: v.GetTable(), After: gap.after, Before: gap.before})
+		for _, gap := range f.replica.listingGapsSince(v.GetTable(), Version(v.GetVersion())) {
+			out.Gaps = append(out.Gaps, &wire.VersionGap{Table: v.GetTable(), After: int64(gap.after), Before: int64(gap.before)})
 		}
 		for _, row := range rows {
 			out.Rows = append(out.Rows, &wire.FollowedRow{
-				Table: row.Table, Key: row.Key, Value: row.Value, Version: row.Version, Gone: row.Removed,
+				Table: row.Table, Key: row.Key, Value: row.Value, Version: int64(row.Version), Gone: row.Removed,
 			})
 		}
 	}
@@ -417,7 +417,7 @@
 // it is not known which rows were removed since, it returns all present rows and
 // sets whole; or it returns no rows and unsets complete, if the table is too large to
 // be sent unrequested or not settled. It is called with mu held.
-func (f *Follower) rowsSince(table string, version int64) (rows []Row, whole, complete bool) {
+func (f *Follower) rowsSince(table string, version Version) (rows []Row, whole, complete bool) {
 	settled := f.settledVersion(table)
 	if !f.replica.KnowsRemovalsSince(table, version) {
 		rows = f.replica.Rows(table)
@@ -443,11 +443,11 @@
 	byTable := map[string][]Row{}
 	for _, r := range reply.GetRows() {
 		byTable[r.GetTable()] = append(byTable[r.GetTable()], Row{
-			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetGone(),
+			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: Version(r.GetVersion()), Removed: r.GetGone(),
 		})
 	}
 	for _, gap := range reply.GetGaps() {
-		f.replica.addListingGap(gap.GetTable(), versionSpan{gap.GetAfter(), gap.GetBefore()})
+		f.replica.addListingGap(gap.GetTable(), versionSpan{Version(gap.GetAfter()), Version(gap.GetBefore())})
 	}
 	peerVersions := versionsByTable(reply.GetHave())
 	var changes []Change
@@ -473,10 +473,10 @@
 	return len(changes) > 0
 }
 
-func versionsByTable(versions []*wire.TableVersion) map[string]int64 {
-	byTable := make(map[string]int64, len(versions))
+func versionsByTable(versions []*wire.TableVersion) map[string]Version {
+	byTable := make(map[string]Version, len(versions))
 	for _, v := range versions {
-		byTable[v.GetTable()] = v.GetVersion()
+		byTable[v.GetTable()] = Version(v.GetVersion())
 	}
 	return byTable
 }
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -34,7 +34,7 @@
 			}
 			return all
 		}
-		version := int64(0)
+		version := Version(0)
 		write := func(row Row) {
 			actual[row.Key] = row
 			reader.replica.ApplyFeed("t", []Row{row}, version)
@@ -100,7 +100,7 @@
 			}
 		}
 		// Large enough to be sent whole only on request.
-		version := int64(0)
+		version := Version(0)
 		for i := range 2 * smallTableRows {
 			version++
 			row := newContentRow('x', fmt.Sprint("old", i), version)
@@ -156,7 +156,7 @@
 func TestListingKeepsNewsFlowing(t *testing.T) {
 	const count = 2 * smallTableRows
 	var rows []Row
-	for i := range int64(count) {
+	for i := range Version(count) {
 		rows = append(rows, newContentRow('x', fmt.Sprint(i), i+1))
 	}
 	reader, receiver := newIdleFollower(), newIdleFollower()
@@ -176,7 +176,7 @@
 func TestLargeTableIsSentWholeOnlyOnRequest(t *testing.T) {
 	const count = 2 * smallTableRows
 	var rows []Row
-	for i := range int64(count) {
+	for i := range Version(count) {
 		rows = append(rows, newContentRow('x', fmt.Sprint(i), i+1))
 	}
 	receiver, restarted := newIdleFollower(), newIdleFollower()
@@ -227,7 +227,7 @@
 	sender.replica.ApplyListing("t", nil, 1)
 	receiver.replica.ApplyListing("t", nil, 1)
 	const count = 2*maxReplyRows + 7
-	for i := range int64(count) {
+	for i := range Version(count) {
 		sender.replica.ApplyFeed("t", []Row{newContentRow('x', fmt.Sprint(i), i+2)}, i+2)
 	}
 	for batch, want := range []int{maxReplyRows, maxReplyRows, 7, 0} {
--- a/daemon/follower/replica.go
+++ b/daemon/follower/replica.go
@@ -17,11 +17,10 @@
 
 // Row is one row of the register, or the record of its removal.
 type Row struct {
-	Table string
-	Key   string
-	Value []byte
-	// Version orders all changes of all rows.
-	Version int64
+	Table   string
+	Key     string
+	Value   []byte
+	Version Version
 	// Removed is set if the row was removed at Version; Value is empty then.
 	Removed bool
 }
@@ -46,27 +45,31 @@
 	// sample is sent to peers, so that renewals cost only the daemons that read the
 	// register.
 	Equivalent func(known, row Row) bool
+	// Outdated reports whether a row that a register restored from a copy lists is older than
+	// the known one, which is of an earlier era; nil means that none is. What is known stays
+	// until the row is written again.
+	Outdated func(known, row Row) bool
 
 	// rows holds the newest row of each ID, as it is sent to peers.
 	rows map[rowID]Row
 	// renewedVersions holds the newest version of the rows that were renewed since
 	// the version in rows.
-	renewedVersions map[rowID]int64
+	renewedVersions map[rowID]Version
 	// completeVersions holds, by table, the version up to which all rows are known.
-	completeVersions map[string]int64
+	completeVersions map[string]Version
 	// removalHorizons holds, by table, the version after which all removals are
 	// known, but for those in listingGaps.
-	removalHorizons map[string]int64
+	removalHorizons map[string]Version
 	// listedVersions holds, by table, the version of the newest listing, here or at a
 	// peer whose rows were taken over.
-	listedVersions map[string]int64
+	listedVersions map[string]Version
 	// listingGaps holds, by table, the spans of versions that a listing skipped, in the
 	// order of their ends. Rows that were added and removed within a span are not known.
 	listingGaps map[string][]versionSpan
 }
 
 // versionSpan is the versions after one and before another.
-type versionSpan struct{ after, before int64 }
+type versionSpan struct{ after, before Version }
 
 // maxListingGaps bounds the listing gaps of a table. The oldest ones are merged into
 // the removal horizon.
@@ -77,17 +80,17 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{rows: map[rowID]Row{}, renewedVersions: map[rowID]int64{}, completeVersions: map[string]int64{}, removalHorizons: map[string]int64{}, listedVersions: map[string]int64{}, listingGaps: map[string][]versionSpan{}}
+	return &Replica{rows: map[rowID]Row{}, renewedVersions: map[rowID]Version{}, completeVersions: map[string]Version{}, removalHorizons: map[string]Version{}, listedVersions: map[string]Version{}, listingGaps: map[string][]versionSpan{}}
 }
 
 // CompleteVersion returns the version up to which all rows of a table are known,
 // 0 before the first listing.
-func (r *Replica) CompleteVersion(table string) int64 { return r.completeVersions[table] }
+func (r *Replica) CompleteVersion(table string) Version { return r.completeVersions[table] }
 
 // KnowsRemovalsSince reports whether all removals of a table after a version are known,
 // for a peer that knows all rows up to that version. A listing shows which of the rows
 // known before it are gone, but not the rows that were added and removed since.
-func (r *Replica) KnowsRemovalsSince(table string, version int64) bool {
+func (r *Replica) KnowsRemovalsSince(table string, version Version) bool {
 	if version < r.removalHorizons[table] {
 		return false
 	}
@@ -97,13 +100,15 @@
 }
 
 // ApplyListing merges all rows of a table as of a version. Known rows that are
-// not listed, and not newer than the version, are marked as removed. It returns
-// the changes, sorted by key.
-func (r *Replica) ApplyListing(table string, rows []Row, version int64) (changed []Change) {
+// not listed, and not newer than the version, are marked as removed. Of a register that was
+// restored, outdated rows are not taken. It returns the changes, sorted by key.
+func (r *Replica) ApplyListing(table string, rows []Row, version Version) (changed []Change) {
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		listed[row.Key] = true
-		changed = r.applyRow(row, changed)
+		if !r.keepsOver(row) {
+			changed = r.applyRow(row, changed)
+		}
 	}
 	for id, known := range r.rows {
 		if id.table == table && !known.Removed && !listed[id.key] && max(known.Version, r.renewedVersions[id]) <= version {
@@ -115,8 +120,22 @@
 	return changed
 }
 
+// keepsOver reports whether a listed row is outdated. What is known then counts as of the
+// row's version, so that all later changes of the row replace it.
+func (r *Replica) keepsOver(row Row) bool {
+	id := rowID{row.Table, row.Key}
+	known, found := r.rows[id]
+	if !found || r.Outdated == nil || known.Version.Era() >= row.Version.Era() || !r.Outdated(known, row) {
+		return false
+	}
+	known.Version = row.Version
+	r.rows[id] = known
+	delete(r.renewedVersions, id)
+	return true
+}
+
 // noteListing records that all rows of a table are known up to a version.
-func (r *Replica) noteListing(table string, version int64) {
+func (r *Replica) noteListing(table string, version Version) {
 	complete := r.completeVersions[table]
 	switch {
 	case version <= complete:
@@ -146,7 +165,7 @@
 }
 
 // listingGapsSince returns the listing gaps of a table that end after a version.
-func (r *Replica) listingGapsSince(table string, version int64) (gaps []versionSpan) {
+func (r *Replica) listingGapsSince(table string, version Version) (gaps []versionSpan) {
 	for _, gap := range r.listingGaps[table] {
 		if gap.before > version {
 			gaps = append(gaps, gap)
@@ -157,14 +176,14 @@
 
 // ApplyPeerRows merges the rows of a peer that hold all changes since the version known
 // here, up to a version. It returns the changes, sorted by key.
-func (r *Replica) ApplyPeerRows(table string, rows []Row, version int64) (changed []Change) {
+func (r *Replica) ApplyPeerRows(table string, rows []Row, version Version) (changed []Change) {
 	changed = r.ApplyRows(table, rows, version)
 	r.listedVersions[table] = max(r.listedVersions[table], version)
 	return changed
 }
 
 // ApplyRows merges changed rows up to a version. It returns the changes, sorted by key.
-func (r *Replica) ApplyRows(table string, rows []Row, version int64) (changed []Change) {
+func (r *Replica) ApplyRows(table string, rows []Row, version Version) (changed []Change) {
 	for _, row := range rows {
 		changed = r.applyRow(row, changed)
 	}
@@ -177,7 +196,7 @@
 // ApplyFeed merges the rows that changed in the register since CompleteVersion,
 // up to a version. Renewals that are not sampled only have their version recorded.
 // It returns the changes, sorted by key.
-func (r *Replica) ApplyFeed(table string, rows []Row, version int64) (changed []Change) {
+func (r *Replica) ApplyFeed(table string, rows []Row, version Version) (changed []Change) {
 	var effective []Row
 	for _, row := range rows {
 		id := rowID{row.Table, row.Key}
@@ -201,7 +220,7 @@
 // the same renewals: independent choices would send each row as often as there
 // are readers.
 func isSampledRenewal(row Row) bool {
-	return xxhash.Sum64String(row.Key+strconv.FormatInt(row.Version, 10))%renewalsPerSample == 0
+	return xxhash.Sum64String(row.Key+strconv.FormatInt(int64(row.Version), 10))%renewalsPerSample == 0
 }
 
 // applyRow merges a row that is newer than the known one and appends the change,
@@ -227,7 +246,7 @@
 
 // Ignores reports whether a row says something else than the known one and has no higher
 // version than that, which is returned.
-func (r *Replica) Ignores(row Row) (knownVersion int64, ignored bool) {
+func (r *Replica) Ignores(row Row) (knownVersion Version, ignored bool) {
 	id := rowID{row.Table, row.Key}
 	known, found := r.rows[id]
 	knownVersion = max(known.Version, r.renewedVersions[id])
@@ -254,7 +273,7 @@
 
 // RowsSince returns all rows of a table that changed after a version, the removed
 // ones included, sorted by key.
-func (r *Replica) RowsSince(table string, version int64) (rows []Row) {
+func (r *Replica) RowsSince(table string, version Version) (rows []Row) {
 	for id, row := range r.rows {
 		if id.table == table && row.Version > version {
 			rows = append(rows, row)
@@ -266,7 +285,7 @@
 
 // NewestVersion returns the version up to which everything that peers send of a
 // table is known: that of its newest change, or of a later listing.
-func (r *Replica) NewestVersion(table string) (version int64) {
+func (r *Replica) NewestVersion(table string) (version Version) {
 	version = r.removalHorizons[table]
 	version = max(version, r.listedVersions[table])
 	for id, row := range r.rows {
@@ -289,7 +308,7 @@
 			removed = append(removed, row)
 		}
 	}
-	slices.SortFunc(removed, func(a, b Row) int { return int(a.Version - b.Version) })
+	slices.SortFunc(removed, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, row := range removed[:max(len(removed)-maxRemovedRows/2, 0)] {
 		id := rowID{row.Table, row.Key}
 		delete(r.rows, id)
--- a/daemon/follower/replica_test.go
+++ b/daemon/follower/replica_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-func newRow(key string, version int64) Row {
-	return Row{Table: "t", Key: key, Value: []byte(fmt.Sprint(key, version)), Version: version}
+func newRow(key string, version Version) Row {
+	return Row{Table: "t", Key: key, Value: []byte(fmt.Sprint(key, version.Number())), Version: version}
 }
 
 // TestListingRemovesUnlistedRows guards against rows that stay after they were
@@ -37,12 +37,12 @@
 		count := rapid.IntRange(1, 30).Draw(t, "count")
 		var all []Row
 		for version := range count {
-			row := newRow(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), int64(version+1))
+			row := newRow(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Version(version+1))
 			row.Removed = rapid.Bool().Draw(t, "removed")
 			all = append(all, row)
 		}
 		inOrder, shuffled := NewReplica(), NewReplica()
-		inOrder.ApplyRows("t", all, int64(count))
+		inOrder.ApplyRows("t", all, Version(count))
 		for _, row := range rapid.Permutation(append(all, all...)).Draw(t, "order") {
 			shuffled.ApplyRows("t", []Row{row}, row.Version)
 		}
@@ -61,7 +61,7 @@
 
 // newContentRow returns a row whose value is the content, one letter, followed by
 // the version.
-func newContentRow(content byte, key string, version int64) Row {
+func newContentRow(content byte, key string, version Version) Row {
 	return Row{Table: "t", Key: key, Value: fmt.Append([]byte{content}, version), Version: version}
 }
 
@@ -75,7 +75,7 @@
 	}
 	const renewals = 400
 	sentCount := 0
-	for version := int64(3); version < 3+renewals; version++ {
+	for version := Version(3); version < 3+renewals; version++ {
 		if changed := ahead.ApplyFeed("t", []Row{newContentRow('x', "a", version)}, version); len(changed) != 0 {
 			t.Errorf("changes %+v", changed)
 		}
@@ -113,7 +113,7 @@
 // is added and removed.
 func TestRemovedRowsAreBounded(t *testing.T) {
 	replica := NewReplica()
-	for version := int64(1); version < 3*maxRemovedRows; version += 2 {
+	for version := Version(1); version < 3*maxRemovedRows; version += 2 {
 		key := fmt.Sprint(version)
 		replica.ApplyRows("t", []Row{newRow(key, version)}, version)
 		replica.ApplyRows("t", []Row{{Table: "t", Key: key, Version: version + 1, Removed: true}}, version+1)
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -21,10 +21,10 @@
 // waits then, is never answered.
 type silentRegister struct {
 	mu      sync.Mutex
-	version int64
+	version Version
 	history []Row
 	// dropped is the version up to which the history is gone.
-	dropped int64
+	dropped Version
 	// silences counts the silences that have begun; silent is set during one.
 	silences int
 	silent   bool
@@ -87,7 +87,7 @@
 	return ctx.Err()
 }
 
-func (l registerLink) List(ctx context.Context, table string) (rows []Row, version int64, err error) {
+func (l registerLink) List(ctx context.Context, table string) (rows []Row, version Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
 	err = l.answer(ctx, func() bool {
@@ -108,7 +108,7 @@
 	return rows, version, err
 }
 
-func (l registerLink) Changes(ctx context.Context, table string, after int64, wait clock.Millis) (rows []Row, version int64, err error) {
+func (l registerLink) Changes(ctx context.Context, table string, after Version, wait clock.Millis) (rows []Row, version Version, err error) {
 	end, gone := time.Now().Add(wait.Duration()), false
 	err = l.answer(ctx, func() bool {
 		for _, row := range l.history {
@@ -193,6 +193,15 @@
 // startSilenceFleet runs count followers of a register until the test ends. cut reports
 // whether the one with a name is cut off from the register.
 func startSilenceFleet(t *testing.T, r *silentRegister, count int, applyBound clock.Millis, cut func(name string) bool) (fleet []*loopPeers) {
+	t.Helper()
+	return startFleet(t, count, applyBound, func(name string) Register {
+		return registerLink{silentRegister: r, cut: func() bool { return cut(name) }}
+	})
+}
+
+// startFleet runs count followers until the test ends. register returns the connection to the
+// register of the one with a name.
+func startFleet(t *testing.T, count int, applyBound clock.Millis, register func(name string) Register) (fleet []*loopPeers) {
 	t.Helper()
 	var members []gossiper.Member
 	for i := range count {
@@ -206,8 +215,7 @@
 		view := append(fakeView{self}, members[:i]...)
 		view = append(view, members[i+1:]...)
 		f := &Follower{
-			Register: registerLink{silentRegister: r, cut: func() bool { return cut(self.Name) }},
-			Decoder:  testDecoder{}, Clock: wallClock{}, ApplyBound: applyBound,
+			Register: register(self.Name), Decoder: testDecoder{}, Clock: wallClock{}, ApplyBound: applyBound,
 			Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "u"},
 		}
 		p := &loopPeers{Exchanger: &Exchanger{Follower: f, View: view}}
@@ -223,6 +231,8 @@
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
+		// Exchanges between daemons that are under way end.
+		time.Sleep(time.Second)
 	})
 	return fleet
 }
