A daemon that starts after a restore learns the newest revision from its peers

What callers may see: while the copy of a restored register holds an older revision, and the operator has not written yet, a daemon that starts serves that one; the others know a newer one and are not asked, because its rows have higher versions.

Change: daemons tell each other their revision; one that lacks it asks for the row of the configuration, and takes it by its revision whatever its version. A revision that can't be decoded here is asked for once.

Failed before: TestDaemonThatStartsAfterARestoreLearnsTheNewestRevision, revision 8 instead of 11.

--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -109,7 +109,11 @@
 	// and configRow its row.
 	config    *inventory.Config
 	configRow Row
-	lapses    lapseTracker
+	// peerRevision is the revision in force at the peer that was last heard.
+	peerRevision int64
+	// unusableRevision is a revision of a peer that could not be decoded here, 0 for none.
+	unusableRevision int64
+	lapses           lapseTracker
 	// decodedUpstreams caches the decoded rows of upstreams, by key.
 	decodedUpstreams map[string]decodedUpstream
 	// unavailable records, by table, whether the last call to the register failed.
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -314,6 +314,9 @@
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
 		have = append(have, &wire.TableVersion{Table: table, Version: int64(f.settledVersion(table)), ConfirmedMsAgo: f.confirmedMSAgo(table)})
 	}
+	if f.config != nil {
+		have[0].Revision = f.config.Revision
+	}
 	return have
 }
 
@@ -327,13 +330,16 @@
 	return int64(max(f.Clock.Now()-confirmedAt, 1))
 }
 
-// noteConfirmations takes over what a peer states of the age of its rows, for the tables
-// of which it knows no newer change.
+// noteConfirmations takes over what a peer states: its revision, and the age of its rows, for
+// the tables of which it knows no newer change.
 func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion) {
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range peerVersions {
+		if v.GetTable() == f.Tables.Config {
+			f.peerRevision = v.GetRevision()
+		}
 		known, followed := f.freshness[v.GetTable()]
 		if followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
 			known.confirm(f.Clock.Now() - clock.Millis(v.GetConfirmedMsAgo()))
@@ -352,11 +358,15 @@
 	return newest
 }
 
-// isBehind reports whether a peer knows newer changes of a table.
+// isBehind reports whether a peer knows newer changes of a table, or a newer revision: a
+// register that was restored may hold an older one at a higher version.
 func (f *Follower) isBehind(peerVersions []*wire.TableVersion) bool {
 	own := versionsByTable(f.knownVersions())
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, v := range peerVersions {
-		if newest, followed := own[v.GetTable()]; followed && Version(v.GetVersion()) > newest {
+		newest, followed := own[v.GetTable()]
+		if followed && (Version(v.GetVersion()) > newest || f.lacksRevision(v.GetRevision())) {
 			return true
 		}
 	}
@@ -364,13 +374,14 @@
 }
 
 // requestedVersions returns the versions after which rows are requested from a
-// peer: the known versions, or 0 to request a table whole.
+// peer: the known versions, or 0 to request a table whole or a newer revision.
 func (f *Follower) requestedVersions() (have []*wire.TableVersion) {
 	have = f.knownVersions()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range have {
-		if f.withheldReplies[v.GetTable()] >= maxWithheldReplies {
+		lacksRevision := v.GetTable() == f.Tables.Config && f.lacksRevision(f.peerRevision)
+		if lacksRevision || f.withheldReplies[v.GetTable()] >= maxWithheldReplies {
 			v.Version = 0
 		}
 	}
@@ -470,7 +481,35 @@
 		f.freshness[c.Table].newsAt = f.Clock.Now()
 	}
 	f.applyChanges(changes, peer)
-	return len(changes) > 0
+	return f.applyNewerRevision(byTable[f.Tables.Config], peer) || len(changes) > 0
+}
+
+// applyNewerRevision puts a configuration of a peer in force that is newer by its revision,
+// although the replica has a row of a higher version. It is called with mu held.
+func (f *Follower) applyNewerRevision(rows []Row, peer string) (applied bool) {
+	before := f.config
+	for _, row := range rows {
+		if row.Key == f.Tables.ConfigKey && !row.Removed {
+			f.applyConfig(row, peer)
+		}
+	}
+	if len(rows) > 0 && f.lacksRevision(f.peerRevision) {
+		f.unusableRevision = f.peerRevision
+	}
+	if applied = f.config != before; applied {
+		f.publish()
+	}
+	return applied
+}
+
+// lacksRevision reports whether a revision is newer than the one in force, and has not been found
+// unusable here. It is called with mu held.
+func (f *Follower) lacksRevision(revision int64) bool {
+	known := f.unusableRevision
+	if f.config != nil {
+		known = max(known, f.config.Revision)
+	}
+	return revision > known
 }
 
 func versionsByTable(versions []*wire.TableVersion) map[string]Version {
--- a/daemon/follower/restore_test.go
+++ b/daemon/follower/restore_test.go
@@ -411,3 +411,43 @@
 		}
 	}
 }
+
+// TestDaemonThatStartsAfterARestoreLearnsTheNewestRevision guards against a daemon that serves an
+// older revision, which is all that the copy holds, while other daemons know the newest.
+func TestDaemonThatStartsAfterARestoreLearnsTheNewestRevision(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		newFollower := func() *Follower {
+			f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "u"}, Clock: &manualClock{now: 1000}, Decoder: testDecoder{}}
+			f.setup()
+			return f
+		}
+		list := func(f *Follower, revision int, era, number int64) {
+			version, _ := NewVersion(era, number)
+			row := Row{Table: "c", Key: "k", Value: []byte(configOf(revision)), Version: version}
+			f.applyChanges(f.replica.ApplyListing("c", []Row{row}, version), "register")
+		}
+		running, started := newFollower(), newFollower()
+		list(running, 11, 1, 16)
+		list(started, 8, 2, 9)
+		if restored {
+			list(running, 8, 2, 9)
+		}
+		for range 2 {
+			started.noteConfirmations(running.knownVersions())
+			if !started.isBehind(running.knownVersions()) {
+				break
+			}
+			started.applyReply(running.buildReply(started.requestedVersions()), "peer")
+		}
+		if revision := started.Current().Revision; revision != 11 {
+			t.Errorf("peer has listed the copy %v: revision %d, want 11", restored, revision)
+		}
+		if started.isBehind(running.knownVersions()) {
+			t.Error("the daemon goes on to ask for what it has")
+		}
+		list(started, 14, 2, 11)
+		if revision := started.Current().Revision; revision != 14 {
+			t.Errorf("revision %d after the operator has written 14", revision)
+		}
+	}
+}
