A refusal counts only for the request that it names

What callers saw elsewhere: a worker writes an earlier refusal once more on a kept connection; the next caller is told that its request has not run, though it has, or the request runs on a second worker.

An answer without an id was taken for that to the request at hand.

Change: an answer without an id counts only on a connection that has carried no request before, which is then closed after it. Otherwise the request may have run.

Failed before: TestRepeatedRefusalIsNotTakenForTheNextRequest, with refusals that name no request: requests ran two and three times, and one that ran was refused as not run; with refusals that name theirs it passed. The stand-in's refusals name the request now, as the users' workers do; its requests without an id get none.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -37,6 +37,7 @@
 var (
 	errNotRun           = errors.New("upstream did not run the request")
 	errWrongRequest     = errors.New("answer carries the id of another request")
+	errUnattributed     = errors.New("answer without a request id on a connection that carried another request")
 	errNotAuthenticated = errors.New("upstream did not mark the answer as its own")
 	errIncomplete       = errors.New("answer ended before it was complete")
 )
@@ -61,14 +62,15 @@
 // It returns the number of whole events.
 func (r *requestState) handleResponse(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, events int, err error) {
 	info := r.Protocol.ResponseInfo(res.StatusCode, res.Header)
-	if info.isFromUpstream(r.req.ID) {
+	if err = r.attributeAnswer(res, info); err != nil {
+		sender.Abandon(res)
+		return unanswered, 0, err
+	}
+	if !info.OtherInstance {
 		slot.Hear(info.Notice)
 	}
 	success := res.StatusCode/100 == http.StatusOK/100
 	switch {
-	case info.RequestID != "" && info.RequestID != r.req.ID:
-		sender.Abandon(res)
-		return unanswered, 0, errWrongRequest
 	case info.NotRun:
 		sender.Discard(res, chunkBytes, discardTimeout)
 		return notRun, 0, fmt.Errorf("%w: status %d, other instance %t, load %d+%d of %d", errNotRun, res.StatusCode,
@@ -84,6 +86,22 @@
 	}
 }
 
+// attributeAnswer returns an error if an answer may be that to another request: an upstream in
+// trouble writes answers once more on a connection that is in use again. An answer without an id
+// counts on a new connection only, which then carries no further request.
+func (r *requestState) attributeAnswer(res *http.Response, info ResponseInfo) error {
+	switch {
+	case info.RequestID == r.req.ID && info.RequestID != "":
+		return nil
+	case info.RequestID != "":
+		return errWrongRequest
+	case !sender.IsFirst(res):
+		return errUnattributed
+	}
+	sender.CloseAfter(res)
+	return nil
+}
+
 // forwardBody forwards an answer without events. An answer below maxBufferedBytes
 // is read completely first; a larger one is forwarded as it arrives. A failure
 // that another attempt may replace is kept in r.failure.
--- a/daemon/forwarder/protocol.go
+++ b/daemon/forwarder/protocol.go
@@ -43,12 +43,6 @@
 	Running, Waiting, Slots int
 }
 
-// isFromUpstream reports whether the upstream that got a request sent this answer to it, and
-// neither another process at its address nor a copy of an earlier answer.
-func (i ResponseInfo) isFromUpstream(request string) bool {
-	return !i.OtherInstance && (i.RequestID == "" || i.RequestID == request)
-}
-
 // Protocol writes the request headers and reads the answer headers of the protocol
 // between daemon and upstream.
 type Protocol interface {
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -105,12 +105,13 @@
 	s.init()
 	a := &attempt{}
 	var used *conn
+	reused := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c, tracked := info.Conn.(*conn)
 		if !tracked {
 			return
 		}
-		used = c
+		used, reused = c, info.Reused
 		a.bind(c)
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
@@ -126,7 +127,7 @@
 		return nil, &Error{Sent: a.seal(), Err: err}
 	}
 	if used != nil {
-		res.Body = &answerBody{ReadCloser: res.Body, conn: used, closeConn: used.exceedsAge(maxConnectionAge)}
+		res.Body = &answerBody{ReadCloser: res.Body, conn: used, reused: reused, closeConn: used.exceedsAge(maxConnectionAge)}
 	}
 	return res, nil
 }
@@ -161,6 +162,21 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// IsFirst reports whether the connection of an answer has carried no request before, so that no
+// data of an earlier answer can have been read as this one.
+func IsFirst(res *http.Response) bool {
+	body, tracked := res.Body.(*answerBody)
+	return tracked && !body.reused
+}
+
+// CloseAfter lets the connection of an answer be closed once the answer has been read, so that
+// a second copy of it can't be read as the answer to another request.
+func CloseAfter(res *http.Response) {
+	if body, tracked := res.Body.(*answerBody); tracked {
+		body.closeConn = true
+	}
+}
+
 // Abandon closes the body and the connection of an answer, so that data that still
 // arrives on it can't be read as the answer to another request.
 func Abandon(res *http.Response) {
@@ -185,8 +201,10 @@
 type answerBody struct {
 	io.ReadCloser
 	conn *conn
+	// reused means that the connection has carried an earlier request.
+	reused bool
 	// closeConn makes Close also close the connection, because it has exceeded
-	// maxConnectionAge.
+	// maxConnectionAge or by CloseAfter.
 	closeConn bool
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -147,6 +147,9 @@
 		return
 	}
 	faults, index := v.countRequest()
+	if id := r.Header.Get(headerAttempt); id != "" {
+		w.Header().Set(headerAttempt, id)
+	}
 	if faults.NamedLimit != "" {
 		w.Header().Set("Server-Limit", faults.NamedLimit)
 	}
