An answer that does not continue a stream is never written into it

What callers saw elsewhere: a stream broke off; the next worker answered with an error, whose text went into the stream, or the stream ended as if it were complete.

Here too: a resumable stream whose second attempt was answered with a status below 500, or with a failure of more than 256 KB, got the body of that answer, and its end was passed off as the end of the stream.

Change: once the head is written, only an answer of the same status and type of content continues the stream; another one is a failed attempt. The next upstream goes on, or the stream is cut.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -37,6 +37,7 @@
 var (
 	errNotRun           = errors.New("upstream did not run the request")
 	errWrongRequest     = errors.New("answer carries the id of another request")
+	errNoContinuation   = errors.New("answer does not continue the stream that has begun")
 	errUnattributed     = errors.New("answer without a request id on a connection that carried another request")
 	errNotAuthenticated = errors.New("upstream did not mark the answer as its own")
 	errIncomplete       = errors.New("answer ended before it was complete")
@@ -75,6 +76,9 @@
 		sender.Discard(res, chunkBytes, discardTimeout)
 		return notRun, 0, fmt.Errorf("%w: status %d, other instance %t, load %d+%d of %d", errNotRun, res.StatusCode,
 			info.OtherInstance, info.Running, info.Waiting, info.Slots)
+	case r.headWritten && !r.continuesStream(res):
+		sender.Discard(res, chunkBytes, discardTimeout)
+		return failed, 0, fmt.Errorf("%w: status %d", errNoContinuation, res.StatusCode)
 	case success && !info.Authenticated, res.StatusCode < http.StatusOK:
 		sender.Abandon(res)
 		return unanswered, 0, errNotAuthenticated
@@ -86,6 +90,11 @@
 	}
 }
 
+// continuesStream reports whether an answer may go on with the stream that the caller gets.
+func (r *requestState) continuesStream(res *http.Response) bool {
+	return res.StatusCode == r.status && res.Header.Get("Content-Type") == r.w.Header().Get("Content-Type")
+}
+
 // attributeAnswer returns an error if an answer may be that to another request: an upstream in
 // trouble writes answers once more on a connection that is in use again. An answer without an id
 // counts on a new connection only, which then carries no further request.
