--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -32,6 +32,9 @@
 	return location + ": " + e.Problem
 }
 
+// MaxSlots is the largest number of slots of an upstream that Check accepts.
+const MaxSlots = 100_000
+
 // MinAddressLifetime is the smallest non-zero AddressLifetimeMS that Check
 // accepts.
 const MinAddressLifetime = 1 * clock.Second
@@ -39,7 +42,6 @@
 // Limits that Check enforces on entries.
 const (
 	maxNameBytes       = 128
-	maxSlots           = 100_000
 	maxDeadline        = clock.Day
 	maxAddressLifetime = 5 * clock.Minute
 	maxRetention       = 366 * clock.Day
--- a/common/inventory/entries_checker.go
+++ b/common/inventory/entries_checker.go
@@ -29,7 +29,7 @@
 		if found && u.FailureDomain != "" {
 			requireField(slices.Contains(regionDomains, u.FailureDomain), "failure_domain", "region %q has none called %q", u.Region, u.FailureDomain)
 		}
-		requireField(inRange(u.Slots, 1, maxSlots), "slots", "must be from 1 to %d", maxSlots)
+		requireField(inRange(u.Slots, 1, MaxSlots), "slots", "must be from 1 to %d", MaxSlots)
 	}
 }
 
