Limits that keep changing are told at most once in five seconds

The daemons need the order of magnitude only; the beginning and the end of a limit are told at once as before. Members are counted for partitions when they change, or every 5 s, instead of five times a second.

New: TestLimitsAreReportedSparingly.

--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -34,6 +34,8 @@
 	// isolationTime is how long a daemon may hear of no other, which send something each
 	// second, before it may be cut off from all of them.
 	isolationTime = 3 * clock.Second
+	// countInterval is the time between two counts of members that have not changed.
+	countInterval = 5 * clock.Second
 )
 
 // Decider is the pure scheduler of one shard.
@@ -83,6 +85,9 @@
 	sharesByPool map[string]scheduler.Shares
 	shardConfigs shardConfigCache
 	census       sharder.Census
+	// countedAssignment and countedAt are those of the last count of census.
+	countedAssignment *sharder.Assignment
+	countedAt         clock.Millis
 	// ctx is the context of Run; nil before Run is called.
 	ctx context.Context
 	// runnerGroup waits for the goroutines that Run started.
@@ -172,7 +177,7 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.census.Track(now, assignment.Members)
+	g.trackMembers(now, assignment)
 	divided := g.census.MaySeeSmallerSide() || g.isIsolated(now, len(assignment.Members))
 	for id, r := range g.runners {
 		if owner, found := assignment.Scheduler(id); !found || owner.Name != self {
@@ -189,6 +194,14 @@
 	g.releaseGoneDaemons(now)
 }
 
+// trackMembers counts the members if they may have changed. It is called with mu held.
+func (g *Granter) trackMembers(now clock.Millis, assignment *sharder.Assignment) {
+	if assignment != g.countedAssignment || now-g.countedAt >= countInterval {
+		g.census.Track(now, assignment.Members)
+		g.countedAssignment, g.countedAt = assignment, now
+	}
+}
+
 // isIsolated reports whether this daemon may be cut off from all others of a fleet.
 func (g *Granter) isIsolated(now clock.Millis, members int) bool {
 	if g.LastContact == nil || members <= 1 {
--- a/daemon/scheduler/notices.go
+++ b/daemon/scheduler/notices.go
@@ -21,8 +21,9 @@
 	// still grant slots on it, because the daemons learn of the change one by one.
 	takeoverTime = 3 * clock.Second
 	// reportedChange is the least ratio of two limits between which a change is reported to
-	// the daemons: they need no more than the order of magnitude.
+	// the daemons, at most once in reportPause: they need no more than the order of magnitude.
 	reportedChange = 1.25
+	reportPause    = 5 * clock.Second
 )
 
 // namedLimit holds an upstream to the rate that it accepts by its own word. The zero value
@@ -33,8 +34,10 @@
 	// heardAt is when the upstream last said whether it has a limit.
 	heardAt   clock.Millis
 	allowance noticer.Allowance
-	// reported is the limit that the daemons know, 0 for none.
-	reported float64
+	// reported is the limit that the daemons know, 0 for none; reportedAt is when they were
+	// told.
+	reported   float64
+	reportedAt clock.Millis
 }
 
 // handleNotice takes what a daemon heard of an upstream. An upstream that is about to stop
@@ -67,11 +70,11 @@
 	began := u.limit.named != m.Limited
 	u.limit.named, u.limit.perSecond = m.Limited, m.Limit
 	ratio := max(m.Limit, minNamedRate) / max(u.limit.reported, minNamedRate)
-	if began || (m.Limited && (ratio >= reportedChange || 1/ratio >= reportedChange)) {
-		u.limit.reported = m.Limit
-		return true
+	differs := m.Limited && (ratio >= reportedChange || 1/ratio >= reportedChange) && s.now-u.limit.reportedAt >= reportPause
+	if began || differs {
+		u.limit.reported, u.limit.reportedAt = m.Limit, s.now
 	}
-	return false
+	return began || differs
 }
 
 // limitRate returns the rate, in requests per second, at which an upstream with a limit gets
--- a/daemon/scheduler/notices_test.go
+++ b/daemon/scheduler/notices_test.go
@@ -185,3 +185,30 @@
 		}
 	}
 }
+
+// TestLimitsAreReportedSparingly guards against a message to each daemon with each answer of an
+// upstream whose limit changes all the time, and against a limit that no daemon hears of.
+func TestLimitsAreReportedSparingly(t *testing.T) {
+	h := newHarness(4)
+	var told []scheduler.NoticeChanged
+	notice := func(limited bool, limit float64) {
+		h.now += 50
+		for _, e := range h.Update(h.now, scheduler.Notice{Upstream: "u0", HeardAt: h.now, Limited: limited, Limit: limit}) {
+			if changed, isNotice := e.(scheduler.NoticeChanged); isNotice {
+				told = append(told, changed)
+			}
+		}
+	}
+	for i := range 400 {
+		notice(true, 1+float64(i%20))
+	}
+	notice(true, 30)
+	if len(told) < 3 || len(told) > 6 || !told[0].Limited {
+		t.Errorf("%d reports in 20 s", len(told))
+	}
+	notice(false, 0)
+	notice(true, 2)
+	if last := told[len(told)-1]; len(told) > 8 || !last.Limited || last.Limit != 2 || told[len(told)-2].Limited {
+		t.Errorf("the end of a limit, or a new one, was not reported: %+v", told)
+	}
+}
