A fit keeps its slope where the samples can't tell one

What callers may see: once all samples of an upstream come at one number of running requests, the time between tokens is predicted with a slope that is rounding, here 0, and all slots are opened: answers come slower than their target.

Change: below a variance of 1e-9 of the mean square the line keeps the slope of the last time at which the samples could tell one.

--- a/daemon/estimator/line.go
+++ b/daemon/estimator/line.go
@@ -15,6 +15,8 @@
 
 	sampleWeight                         float64
 	sumWeights, sumX, sumY, sumXX, sumXY float64
+	// lastSlope is the slope of the last time at which the samples could tell one.
+	lastSlope float64
 }
 
 // Weights of samples.
@@ -26,6 +28,9 @@
 	priorWeight = 1.0
 	// confidentSamples is the total sample weight from which Confident is true.
 	confidentSamples = 5.0
+	// minVariance is the least variance of x, as a share of the mean of its square, from
+	// which on samples tell a slope. Below it the variance may be rounding.
+	minVariance = 1e-9
 )
 
 // Add adds a sample.
@@ -39,6 +44,18 @@
 	l.sumY = l.sumY*lineDecay + y
 	l.sumXX = l.sumXX*lineDecay + x*x
 	l.sumXY = l.sumXY*lineDecay + x*y
+	if slope, known := l.sampledSlope(); known {
+		l.lastSlope = slope
+	}
+}
+
+// sampledSlope returns the slope that the samples tell; known is false if they are all at one x.
+func (l *Line) sampledSlope() (slope float64, known bool) {
+	variance := l.sumXX - l.sumX*l.sumX/l.sumWeights
+	if variance <= minVariance*l.sumXX {
+		return 0, false
+	}
+	return max((l.sumXY-l.sumX*l.sumY/l.sumWeights)/variance, 0), true
 }
 
 // applyPrior adds the prior as two samples.
@@ -59,13 +76,8 @@
 	if l.sumWeights == 0 {
 		return l.Intercept, l.Slope
 	}
-	meanY := l.sumY / l.sumWeights
-	varianceSum := l.sumXX - l.sumX*l.sumX/l.sumWeights
-	if varianceSum <= 0 {
-		return meanY, 0
-	}
-	slope = max((l.sumXY-l.sumX*l.sumY/l.sumWeights)/varianceSum, 0)
-	intercept = meanY - slope*l.sumX/l.sumWeights
+	slope = l.lastSlope
+	intercept = (l.sumY - slope*l.sumX) / l.sumWeights
 	if intercept < 0 {
 		// The best line without a negative intercept runs through the origin.
 		return 0, max(l.sumXY/l.sumXX, 0)
