The operator's orders for versions are read

Change: the decoder reads them, the follower offers the newest of each pool. A row that can't be decoded hides no other, and other rows beside the configuration are passed over as before.

Nothing uses the orders yet.

--- a/common/inventory/inventory.go
+++ b/common/inventory/inventory.go
@@ -219,6 +219,14 @@
 	MoveUndo  MoveState = "undo"
 )
 
+// ReleaseOrder asks to bring a pool to a version within a time, while upstreams of both run.
+type ReleaseOrder struct {
+	Pool    string
+	Version string
+	// Duration is above 0.
+	Duration clock.Millis
+}
+
 // Move replaces a version of a pool's software by another, step by step, until
 // a due time.
 type Move struct {
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -41,11 +41,14 @@
 	Config(value []byte) (config *inventory.Config, err error)
 	// Upstream decodes the row of an upstream.
 	Upstream(key string, value []byte) (upstream inventory.Upstream, err error)
+	// ReleaseOrder decodes a row beside the configuration; isOrder is unset if it is not
+	// meant to be an order.
+	ReleaseOrder(key string, value []byte) (order inventory.ReleaseOrder, isOrder bool, err error)
 }
 
 // Tables names the tables that are followed.
 type Tables struct {
-	// Config holds the configuration in the row ConfigKey.
+	// Config holds the configuration in the row ConfigKey, and orders.
 	Config    string
 	ConfigKey string
 	// Upstreams holds a row for each upstream.
@@ -101,6 +104,7 @@
 	Registerer prometheus.Registerer
 
 	current atomic.Pointer[inventory.Config]
+	orders  atomic.Pointer[[]ReleaseOrder]
 	metrics metrics
 
 	mu      sync.Mutex
@@ -382,14 +386,20 @@
 	if len(changes) == 0 {
 		return
 	}
+	ordersChanged := false
 	for _, c := range changes {
 		switch {
 		case c.Table == f.Tables.Upstreams && !c.Removed:
 			delete(f.lapses.held, c.Key)
 		case c.Table == f.Tables.Config && c.Key == f.Tables.ConfigKey && !c.Removed:
 			f.applyConfig(c.Row, origin)
+		case c.Table == f.Tables.Config && c.Key != f.Tables.ConfigKey:
+			ordersChanged = true
 		}
 	}
+	if ordersChanged {
+		f.applyOrders(origin)
+	}
 	f.publish()
 }
 
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -92,6 +92,10 @@
 
 type decoder struct{}
 
+func (decoder) ReleaseOrder(string, []byte) (order inventory.ReleaseOrder, isOrder bool, err error) {
+	return order, false, nil
+}
+
 func (decoder) Config(value []byte) (*inventory.Config, error) {
 	var c inventory.Config
 	err := json.Unmarshal(value, &c)
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -129,6 +129,10 @@
 // testDecoder decodes configurations and upstreams from JSON.
 type testDecoder struct{}
 
+func (testDecoder) ReleaseOrder(string, []byte) (order inventory.ReleaseOrder, isOrder bool, err error) {
+	return order, false, nil
+}
+
 func (testDecoder) Config(value []byte) (config *inventory.Config, err error) {
 	config = &inventory.Config{}
 	return config, json.Unmarshal(value, config)
