--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -30,6 +30,7 @@
 		"hup":    playHangupWhileStopping,
 		"wait":   playStopWhileWaiting,
 		"resume": playCrashBeforeContinuation,
+		"quota":  playRestarts,
 	}
 	if len(os.Args) == 4 && os.Args[1] == "worker" {
 		os.Exit(serveUnframed(os.Args[2], os.Args[3]))
