--- a/review/stand/waiting.go
+++ b/review/stand/waiting.go
@@ -13,8 +13,8 @@
 const (
 	stampWork  = 2500 * time.Millisecond
 	stampSlots = 6
-	stampCount = 5 * stampSlots
-	stampLimit = 20 * time.Second
+	stampCount = 4 * stampSlots
+	stampLimit = 12 * time.Second
 )
 
 // playStopWhileWaiting stops one machine in a planned way while requests wait there for a slot.
