--- a/review/stand/hangup.go
+++ b/review/stand/hangup.go
@@ -29,6 +29,11 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(600 * time.Millisecond)
+	for _, q := range requests {
+		if _, found := findRun(workers, q.id); !found {
+			return result{err: fmt.Errorf("%s has reached no worker", q)}
+		}
+	}
 	stopped := time.Now()
 	target.signal(syscall.SIGTERM)
 	time.Sleep(time.Second)
--- a/review/stand/quota.go
+++ b/review/stand/quota.go
@@ -69,6 +69,9 @@
 	most, from := mostInWindow(requests, workers)
 	allowed := (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaExcess) + quotaSlack
 	w.note("in the %v from %.1f s on, %d tokens of the tenant were sent and run; the rule allows %.0f", quotaWindow, w.at(from), most, allowed)
+	if most < tenantBurst {
+		return result{err: fmt.Errorf("only %d tokens were run", most)}
+	}
 	if float64(most) > allowed {
 		r.broken = append(r.broken, fmt.Sprintf("%d tokens of the tenant in %v, allowed are %.0f", most, quotaWindow, allowed))
 	}
--- a/review/stand/resume.go
+++ b/review/stand/resume.go
@@ -55,6 +55,9 @@
 		_ = process.Process.Signal(syscall.SIGKILL)
 	}
 	running.Wait()
+	if w.workerLines.Load() < resumeRequests {
+		return result{err: fmt.Errorf("%d of %d requests have reached the worker", w.workerLines.Load(), resumeRequests)}
+	}
 	for i, q := range requests {
 		if !q.whole || q.status != http.StatusOK {
 			continue
@@ -148,14 +151,11 @@
 		lines := bufio.NewScanner(output)
 		for lines.Scan() {
 			w.note("%s", lines.Text())
+			w.workerLines.Add(1)
 		}
 	}()
-	for range 100 {
-		if conn, err := net.Dial("tcp", address); err == nil {
-			_ = conn.Close()
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
+	if err = awaitListener(address); err != nil {
+		return nil, "", err
 	}
 	born := time.Now().UnixMilli()
 	go func() {
@@ -170,6 +170,18 @@
 	return process, id, nil
 }
 
+// awaitListener waits until an address accepts connections.
+func awaitListener(address string) (err error) {
+	for range 100 {
+		var conn net.Conn
+		if conn, err = net.Dial("tcp", address); err == nil {
+			return conn.Close()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
 // serveUnframed is the process of a worker whose answers have neither a length nor chunks and
 // end with their connection.
 func serveUnframed(address, id string) int {
--- a/review/stand/waiting.go
+++ b/review/stand/waiting.go
@@ -36,6 +36,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(100 * time.Millisecond)
+	if _, found := findRun(workers, requests[0].id); !found {
+		return result{err: fmt.Errorf("%s has reached no worker", requests[0])}
+	}
 	stopped := time.Now()
 	if w.trouble {
 		target.signal(syscall.SIGTERM)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,7 +31,9 @@
 	ended    bool
 	// processes are the workers that are processes of their own.
 	processes []*exec.Cmd
-	store     *store
+	// workerLines counts the lines that these have printed.
+	workerLines atomic.Int64
+	store       *store
 	// storeAddress is the store's IP address and port.
 	storeAddress string
 }
