--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,9 +30,7 @@
 	ended    bool
 	// processes are the workers that are processes of their own.
 	processes []*exec.Cmd
-	// workerLines counts the lines that these have printed.
-	workerLines atomic.Int64
-	store       *store
+	store     *store
 	// storeAddress is the store's IP address and port.
 	storeAddress string
 }
