--- a/review/stand/quota.go
+++ b/review/stand/quota.go
@@ -18,7 +18,7 @@
 	homeOfTenant   = "front-graz-a-1"
 	floodTime      = 11 * time.Second
 	floodLoops     = 3
-	floodPause     = 20 * time.Millisecond
+	floodPause     = 280 * time.Millisecond
 	killPause      = 2 * time.Second
 	killCount      = 3
 	requesterLimit = 1200 * time.Millisecond
