--- a/review/stand/quota.go
+++ b/review/stand/quota.go
@@ -66,6 +66,10 @@
 		time.Sleep(killPause)
 	}
 	running.Wait()
+	for _, q := range requests {
+		run, found := findRun(workers, q.id)
+		w.note("%s was sent at %.3f, ended at %.3f, status %d, whole %v, run %v %s", q, w.at(q.sent), w.at(q.ended), q.status, q.whole, found, run.worker)
+	}
 	most, from := mostInWindow(requests, workers)
 	allowed := (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaExcess) + quotaSlack
 	w.note("in the %v from %.1f s on, %d tokens of the tenant were sent and run; the rule allows %.0f", quotaWindow, w.at(from), most, allowed)
