--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"yuccaspread/common/catcher"
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/reloader"
@@ -43,15 +44,10 @@
 	)
 }
 
-func newAdministrator(s settings, c *configurer.Configurer, clk clock.Clock, shutdowner fx.Shutdowner, r *recorder.Recorder) *administrator.Administrator {
+func newAdministrator(s settings, c *configurer.Configurer, clk clock.Clock, signals *catcher.Catcher, r *recorder.Recorder) *administrator.Administrator {
 	return &administrator.Administrator{
 		Configurer: c, Clock: clk, Daemon: s.Name, BootstrapTokenSHA256: s.BootstrapTokenSHA256,
-		Recorder: r,
-		Stop: func() {
-			if err := shutdowner.Shutdown(); err != nil {
-				klog.ErrorS(err, "planned stop could not be started; the daemon keeps running")
-			}
-		},
+		Recorder: r, Stop: signals.RequestStop,
 	}
 }
 
--- a/daemon/duty_reloading.go
+++ b/daemon/duty_reloading.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
+	"yuccaspread/common/catcher"
 	"yuccaspread/common/clock"
 	"yuccaspread/common/loader"
 )
@@ -24,6 +23,8 @@
 type settingsFile struct {
 	source loader.Source
 	latest atomic.Pointer[settings]
+	// signals announces changes of the file.
+	signals *catcher.Catcher
 	// readModTime is the modification time of the file when it was last read.
 	readModTime time.Time
 }
@@ -38,9 +39,6 @@
 }
 
 func (f *settingsFile) run(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(reloadInterval.Duration())
 	defer ticker.Stop()
 	f.readModTime = f.modTime()
@@ -48,7 +46,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-f.signals.Reload():
 			f.reload("signal")
 		case <-ticker.C:
 			if modTime := f.modTime(); !modTime.Equal(f.readModTime) {
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx/fxevent"
 	"k8s.io/klog/v2"
 
+	"yuccaspread/common/catcher"
 	"yuccaspread/common/loader"
 	"yuccaspread/common/logger"
 )
@@ -20,6 +21,7 @@
 var version = "development"
 
 func main() {
+	signals := catcher.New()
 	var path string
 	var overrides []string
 	var checkOnly bool
@@ -31,16 +33,16 @@
 	flaggy.Bool(&checkOnly, "c", "check", "only check the settings")
 	flaggy.Parse()
 	logger.Setup(os.Stderr, "yuccaspread", false)
-	if err := run(path, overrides, checkOnly); err != nil {
+	if err := run(signals, path, overrides, checkOnly); err != nil {
 		klog.ErrorS(err, "daemon failed; the process exits")
 		klog.Flush()
 		os.Exit(1)
 	}
 }
 
-func run(path string, overrides []string, checkOnly bool) (err error) {
+func run(signals *catcher.Catcher, path string, overrides []string, checkOnly bool) (err error) {
 	var s settings
-	file := &settingsFile{source: loader.Source{Path: path, Prefix: "YUCCASPREAD", Flags: overrides}}
+	file := &settingsFile{signals: signals, source: loader.Source{Path: path, Prefix: "YUCCASPREAD", Flags: overrides}}
 	if err = loader.Load(file.source, &s); err != nil || checkOnly {
 		return err
 	}
@@ -54,11 +56,11 @@
 		modules = hostedDuties(s)
 	}
 	klog.InfoS("daemon starting", "name", s.Name, "version", version, "region", s.Region, "failure_domain", s.FailureDomain)
-	app := fx.New(modules, fx.Supply(file), reloadingDuty(), fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
+	app := fx.New(fx.Supply(file, signals), reloadingDuty(), modules, fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err = app.Start(context.Background()); err != nil {
 		return err
 	}
-	<-app.Done()
+	<-signals.Stop()
 	klog.InfoS("daemon stopping", "name", s.Name)
 	defer func() { klog.InfoS("daemon stopped", "name", s.Name) }()
 	ctx, cancel := stopContext(s)
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,12 +6,11 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
 
+	"yuccaspread/common/catcher"
 	"yuccaspread/common/loader"
 	"yuccaspread/common/logger"
 )
@@ -21,7 +20,7 @@
 
 func main() {
 	logger.Setup(os.Stderr, "yuccastandin", false)
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := catcher.New().StopContext()
 	err := run(ctx)
 	cancel()
 	if err != nil {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -5,6 +5,7 @@
 package worker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -52,6 +53,8 @@
 	// Leaving lets all responses say that the worker is about to stop, which its entry in the
 	// store does not.
 	Leaving bool `json:"leaving"`
+	// EventGapMS replaces the pause between two events of a stream; 0 leaves it.
+	EventGapMS clock.Millis `json:"event_gap_ms"`
 }
 
 // Run records a request that ran on this worker.
@@ -261,7 +264,7 @@
 	case isEveryNth(index, faults.FailEvery):
 		w.WriteHeader(http.StatusInternalServerError)
 	case v.Events > 0:
-		v.streamEvents(w, r, isEveryNth(index, faults.BreakEvery))
+		v.streamEvents(w, r, cmp.Or(faults.EventGapMS, v.EventGap), isEveryNth(index, faults.BreakEvery))
 	case isEveryNth(index, faults.BreakEvery):
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("the start of"))
@@ -272,7 +275,7 @@
 }
 
 // streamEvents sends the events that follow Last-Event-Id, or all of them.
-func (v *Worker) streamEvents(w http.ResponseWriter, r *http.Request, truncate bool) {
+func (v *Worker) streamEvents(w http.ResponseWriter, r *http.Request, gap clock.Millis, truncate bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -288,7 +291,7 @@
 		}
 		_, _ = w.Write([]byte(event))
 		_ = flusher.Flush()
-		if !clock.Sleep(r.Context(), v.EventGap) {
+		if !clock.Sleep(r.Context(), gap) {
 			return
 		}
 	}
