--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -99,6 +99,10 @@
 // limits suffices, in one window of the users' platform.
 const restartsPerWindow = 2
 
+// ownPartSlackFraction is the part of the slack of the limits that daemons may use up in such a
+// window while the home of a limit does not answer.
+const ownPartSlackFraction = 0.25
+
 // newLimiter returns a limiter that enforces the limits of organisations before
 // it passes a request on to the reserver.
 func newLimiter(s settings, source inventory.Source, members *gossiper.Gossiper, c clock.Clock, peers *connector.Connector, r *reserver.Remote, registerer prometheus.Registerer) limiterResult {
@@ -110,6 +114,7 @@
 	}
 	if s.Hosted != nil {
 		l.RestartTokens = s.Hosted.LimitSlackTokens / restartsPerWindow
+		l.MaxOwnPartOverdraft = int(ownPartSlackFraction * float64(s.Hosted.LimitSlackTokens))
 	}
 	service := func(mux drpc.Mux) error {
 		return wire.DRPCRegisterLimit(mux, &limiter.Server{Limiter: l})
--- a/daemon/limiter/churn_test.go
+++ b/daemon/limiter/churn_test.go
@@ -67,6 +67,9 @@
 // limit beside its excess.
 const quotaSlack = 190_000
 
+// hotLoad is what a small organisation asks for at least, in tokens a second.
+const hotLoad = 150_000
+
 // Times of the membership, as measured in the tests of the gossiper.
 const (
 	fleetSettleTime  = 2 * clock.Second
@@ -102,8 +105,8 @@
 	d.incarnation = int64(d.startedAt)
 	d.limiter = &limiter.Limiter{
 		Next: grantAll{}, Source: source{f.config}, View: churningView{f, d}, Clock: &f.clock,
-		RestartTokens: quotaSlack / 2,
-		Settled:       func() bool { return f.clock.Now()-d.startedAt >= d.settleTime() },
+		RestartTokens: quotaSlack / 2, MaxOwnPartOverdraft: quotaSlack / 4,
+		Settled: func() bool { return f.clock.Now()-d.startedAt >= d.settleTime() },
 		Borrow: func(ctx context.Context, home gossiper.Member, wants []limiter.Want) (loans []limiter.Loan, err error) {
 			err = f.call(d, home.Name, func(to *limiter.Limiter) (err error) {
 				loans, err = to.Lend(ctx, d.name, wants)
@@ -319,21 +322,22 @@
 				// The others differ by what a few daemons do, and so large a fleet takes long.
 				continue
 			}
-			for _, rate := range []float64{47_000, 445_760} {
+			for rate, burst := range map[float64]float64{20_000: 95_000, 47_000: 47_000, 445_760: 445_760} {
 				t.Run(fmt.Sprintf("%s, %d daemons, %.0f tokens a second", name, count, rate), func(t *testing.T) {
 					t.Parallel()
-					checkChurn(t, count, rate, name, prepare)
+					organisation := inventory.Organisation{TokensPerSecond: rate, TokenBurst: burst, TokensInAdvance: true}
+					checkChurn(t, newChurningFleet(t, count, organisation), name, prepare)
 				})
 			}
 		}
 	}
 }
 
-func checkChurn(t *testing.T, count int, rate float64, name string, prepare func(f *churningFleet)) {
+func checkChurn(t *testing.T, f *churningFleet, name string, prepare func(f *churningFleet)) {
 	const duration = 24 * clock.Second
-	f := newChurningFleet(t, count, inventory.Organisation{TokensPerSecond: rate, TokenBurst: rate, TokensInAdvance: true})
+	rate := f.config.Organisations[0].TokensPerSecond
 	prepare(f)
-	f.offer(duration, 3)
+	f.offer(duration, max(3, hotLoad/rate))
 	least, most := f.check(name, duration)
 	t.Logf("%.2f to %.2f of the limit", least/(8*rate), most/(8*rate))
 	if name == "calm" && least < 0.9*8*rate {
--- a/daemon/limiter/lender.go
+++ b/daemon/limiter/lender.go
@@ -24,6 +24,8 @@
 	Tokens   int
 	// LeastTokens is the number of Tokens below which a loan is of no use.
 	LeastTokens int
+	// NoOverdraft means that LeastTokens are lent only if the bucket holds them.
+	NoOverdraft bool
 	// Slots is the concurrency that the daemon wants, its running requests
 	// included.
 	Slots int
@@ -127,7 +129,7 @@
 	a.requests = min(a.requests+float64(want.ReturnedRequests), terms.Burst)
 	a.tokens = min(a.tokens+float64(want.ReturnedTokens), terms.TokenBurst)
 	loan.Requests = a.lendRequests(want.Requests, &loan)
-	loan.Tokens = a.lendTokens(want.Tokens, want.LeastTokens, &loan)
+	loan.Tokens = a.lendTokens(want, &loan)
 	loan.Slots = a.lendSlots(now, daemon, want.Slots, &loan)
 	if loan.Requests > 0 || loan.Tokens > 0 || loan.Slots > 0 {
 		a.lentAt = now
@@ -163,12 +165,17 @@
 }
 
 // lendTokens lends up to the level of the bucket. A bucket above 0 may be
-// overdrawn once, to lend at least the least that is wanted, and then lends
-// nothing until it is above 0 again.
-func (a *account) lendTokens(want, least int, loan *Loan) int {
+// overdrawn once, unless the want rules it out, to lend at least the least that is
+// wanted, and then lends nothing until it is above 0 again.
+func (a *account) lendTokens(w Want, loan *Loan) int {
+	want, least := w.Tokens, w.LeastTokens
 	if a.terms.Tokens <= 0 || want <= 0 {
 		return max(want, 0)
 	}
+	if w.NoOverdraft && a.tokens < float64(least) {
+		loan.RetryAfter = max(loan.RetryAfter, slotRetryInterval)
+		return 0
+	}
 	if a.tokens <= 0 {
 		loan.raiseRetryAfter((1 - a.tokens) / a.terms.Tokens)
 		return 0
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -51,6 +51,9 @@
 	// daemon knows of a loan since the start of this one. After a restart of all daemons
 	// an organisation may thus exceed its limit by as much.
 	RestartTokens int
+	// MaxOwnPartOverdraft is the number of tokens that all daemons together may lend beyond
+	// their own parts of a limit while its home does not answer; 0 means no bound.
+	MaxOwnPartOverdraft int
 	// Registerer registers the metrics; with nil they are not exported.
 	Registerer prometheus.Registerer
 
@@ -258,6 +261,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	part := terms.Part(index, count).ReducedForPartition()
+	// Each daemon may overdraw its part once, so that only the first ones may do so.
+	want.NoOverdraft = l.MaxOwnPartOverdraft > 0 && (index+1)*want.LeastTokens > l.MaxOwnPartOverdraft
 	l.ownPartLender.Open(now, part, want.Organisation, l.homes.earliestTenure(), 0)
 	return l.ownPartLender.Lend(now, l.View.Self().Name, part, want)
 }
