--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -95,13 +95,13 @@
 	Service peerService `group:"peer_services"`
 }
 
-// restartsPerWindow is the number of restarts of all daemons for which the slack of the
-// limits suffices, in one window of the users' platform.
-const restartsPerWindow = 2
-
-// ownPartSlackFraction is the part of the slack of the limits that daemons may use up in such a
-// window while the home of a limit does not answer.
-const ownPartSlackFraction = 0.25
+// Parts of the slack of the limits that may be used up in a window of the users' platform: by
+// restarts of daemons, and by daemons whose home of a limit does not answer. The rest is for
+// loans that are lost and used all the same.
+const (
+	restartSlackFraction = 0.5
+	ownPartSlackFraction = 0.25
+)
 
 // newLimiter returns a limiter that enforces the limits of organisations before
 // it passes a request on to the reserver.
@@ -112,9 +112,11 @@
 		Borrow: limiter.NewBorrowFunc(peers, view.Self().Name), AskRelease: limiter.NewReleaseFunc(peers, view.Self().Name),
 		Settled: members.Settled,
 	}
-	if s.Hosted != nil {
-		l.RestartTokens = s.Hosted.LimitSlackTokens / restartsPerWindow
-		l.MaxOwnPartOverdraft = int(ownPartSlackFraction * float64(s.Hosted.LimitSlackTokens))
+	if s.Hosted != nil && s.Hosted.LimitWindowS > 0 {
+		slack := float64(s.Hosted.LimitSlackTokens)
+		extra := restartSlackFraction * slack
+		l.RestartExtra = limiter.Extra{PerSecond: extra / s.Hosted.LimitWindowS, Tokens: extra}
+		l.MaxOwnPartOverdraft = int(ownPartSlackFraction * slack)
 	}
 	service := func(mux drpc.Mux) error {
 		return wire.DRPCRegisterLimit(mux, &limiter.Server{Limiter: l})
--- a/daemon/limiter/churn_test.go
+++ b/daemon/limiter/churn_test.go
@@ -105,7 +105,7 @@
 	d.incarnation = int64(d.startedAt)
 	d.limiter = &limiter.Limiter{
 		Next: grantAll{}, Source: source{f.config}, View: churningView{f, d}, Clock: &f.clock,
-		RestartTokens: quotaSlack / 2, MaxOwnPartOverdraft: quotaSlack / 4,
+		RestartExtra: limiter.Extra{PerSecond: quotaSlack / 2 / window.Duration().Seconds(), Tokens: quotaSlack / 2}, MaxOwnPartOverdraft: quotaSlack / 4,
 		Settled: func() bool { return f.clock.Now()-d.startedAt >= d.settleTime() },
 		Borrow: func(ctx context.Context, home gossiper.Member, wants []limiter.Want) (loans []limiter.Loan, err error) {
 			err = f.call(d, home.Name, func(to *limiter.Limiter) (err error) {
@@ -380,6 +380,17 @@
 			restart(f, 8000, 900, true, home)
 			restart(f, 12000, 900, true, home)
 		},
+		"home killed again and again": func(f *churningFleet) {
+			home := f.home()
+			for i := range clock.Millis(7) {
+				restart(f, 6000+2000*i, 300, true, home)
+			}
+		},
+		"all killed again and again": func(f *churningFleet) {
+			for i := range clock.Millis(5) {
+				restart(f, 6000+3000*i, 300, false, f.daemons...)
+			}
+		},
 		"home lost": func(f *churningFleet) {
 			f.at(8000, func() { f.kill(f.home()) })
 		},
--- a/daemon/limiter/lender.go
+++ b/daemon/limiter/lender.go
@@ -61,6 +61,8 @@
 	tokens   float64
 	filledAt clock.Millis
 	terms    Terms
+	// extra is what still flows into the bucket of tokens beside the terms.
+	extra Extra
 	// slots is the lent concurrency by daemon.
 	slots map[string]slotLoan
 	// lentAt is when something was last lent.
@@ -72,18 +74,24 @@
 	expires clock.Millis
 }
 
+// Extra is what flows into a bucket of tokens beside the rate of its terms.
+type Extra struct {
+	// PerSecond is the rate of it, Tokens the total.
+	PerSecond float64
+	Tokens    float64
+}
+
 // Open opens the account of an organisation that has none. Nobody else has lent its
 // limits since a time, at which its buckets count as empty: whatever was lent before,
-// all loans of any span stay within the limits. initialTokens are added to what has
-// flowed in since.
-func (l *Lender) Open(now clock.Millis, terms Terms, organisation string, since clock.Millis, initialTokens int) {
+// all loans of any span stay within the limits. extra flows in beside the terms.
+func (l *Lender) Open(now clock.Millis, terms Terms, organisation string, since clock.Millis, extra Extra) {
 	if l.Holds(organisation) {
 		return
 	}
 	if l.accounts == nil {
 		l.accounts = map[string]*account{}
 	}
-	a := &account{filledAt: min(since, now), tokens: float64(initialTokens), lentAt: math.MinInt64, slots: map[string]slotLoan{}}
+	a := &account{filledAt: min(since, now), extra: extra, lentAt: math.MinInt64, slots: map[string]slotLoan{}}
 	a.refill(now, terms)
 	l.accounts[organisation] = a
 }
@@ -144,7 +152,9 @@
 	a.filledAt = max(a.filledAt, now)
 	a.terms = terms
 	a.requests = min(a.requests+seconds*terms.Rate, terms.Burst)
-	a.tokens = min(a.tokens+seconds*terms.Tokens, terms.TokenBurst)
+	extra := min(seconds*a.extra.PerSecond, a.extra.Tokens)
+	a.extra.Tokens -= extra
+	a.tokens = min(a.tokens+seconds*terms.Tokens+extra, terms.TokenBurst)
 	for daemon, s := range a.slots {
 		if now >= s.expires {
 			delete(a.slots, daemon)
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -47,10 +47,10 @@
 	// always does. Until then nothing is lent or borrowed, because a daemon that knows
 	// only a part of the fleet takes the wrong one for the home.
 	Settled func() bool
-	// RestartTokens is what a bucket of tokens starts with, within its burst, where no
-	// daemon knows of a loan since the start of this one. After a restart of all daemons
-	// an organisation may thus exceed its limit by as much.
-	RestartTokens int
+	// RestartExtra flows into a bucket of tokens that starts empty, where no daemon knows
+	// of a loan since the start of this one. However often daemons restart, an organisation
+	// may exceed its limit in any span by RestartExtra.PerSecond times the span.
+	RestartExtra Extra
 	// MaxOwnPartOverdraft is the number of tokens that all daemons together may lend beyond
 	// their own parts of a limit while its home does not answer; 0 means no bound.
 	MaxOwnPartOverdraft int
@@ -263,7 +263,7 @@
 	part := terms.Part(index, count).ReducedForPartition()
 	// Each daemon may overdraw its part once, so that only the first ones may do so.
 	want.NoOverdraft = l.MaxOwnPartOverdraft > 0 && (index+1)*want.LeastTokens > l.MaxOwnPartOverdraft
-	l.ownPartLender.Open(now, part, want.Organisation, l.homes.earliestTenure(), 0)
+	l.ownPartLender.Open(now, part, want.Organisation, l.homes.earliestTenure(), Extra{})
 	return l.ownPartLender.Lend(now, l.View.Self().Name, part, want)
 }
 
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -229,7 +229,7 @@
 	for i := range count {
 		name := fmt.Sprint("organisation-", i)
 		borrower.Admit(now, name, terms, 10, true)
-		lender.Open(now, terms, name, 0, 0)
+		lender.Open(now, terms, name, 0, limiter.Extra{})
 		borrower.AddLoan(now, name, lender.Lend(now, "d1", terms, borrower.WantForRequest(now, name, 10)))
 		if v, _ := borrower.Admit(now, name, terms, 10, true); v != limiter.Admitted {
 			t.Fatalf("verdict %v", v)
@@ -268,7 +268,7 @@
 		var borrower limiter.Borrower
 		for i := range organisations {
 			name := fmt.Sprint("organisation-", i)
-			lender.Open(0, terms, name, 0, 0)
+			lender.Open(0, terms, name, 0, limiter.Extra{})
 			borrower.AddLoan(0, name, lender.Lend(0, "d1", terms, borrower.WantForRequest(0, name, 10)))
 		}
 		runtime.GC()
--- a/daemon/limiter/refund_test.go
+++ b/daemon/limiter/refund_test.go
@@ -19,7 +19,7 @@
 	var b limiter.Borrower
 	var l limiter.Lender
 	now := clock.Hour
-	l.Open(now, terms, "o", 0, 0)
+	l.Open(now, terms, "o", 0, limiter.Extra{})
 	admitted := 0
 	for range 50 {
 		verdict, _ := b.Admit(now, "o", terms, 100, true)
--- a/daemon/limiter/takeover.go
+++ b/daemon/limiter/takeover.go
@@ -112,11 +112,11 @@
 	if otherHome != "" {
 		return otherHome
 	}
-	initialTokens := 0
+	var extra Extra
 	if since == start && !l.homes.resumed() {
-		initialTokens = l.RestartTokens
+		extra = l.RestartExtra
 	}
-	l.homeLender.Open(now, terms, organisation, since, initialTokens)
+	l.homeLender.Open(now, terms, organisation, since, extra)
 	if asked > 0 {
 		klog.InfoS("limits taken over as home", "organisation", organisation, "since", since, "members", len(members), "asked", asked, "silent", silent)
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -71,6 +71,8 @@
 	// LimitSlackTokens is the number of tokens by which the users' platform lets an
 	// organisation exceed its limit in any of its windows.
 	LimitSlackTokens int `toml:"limit_slack_tokens" validate:"gte=0"`
+	// LimitWindowS is the length of these windows, in seconds.
+	LimitWindowS float64 `toml:"limit_window_s" validate:"required_with=LimitSlackTokens,gte=0"`
 	// CrossRegionBytes is the volume that each tier may send between regions per
 	// hour, in bytes; 0 keeps requests in their region.
 	CrossRegionBytes int64 `toml:"cross_region_bytes_per_hour" validate:"gte=0"`
