--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -224,7 +224,7 @@
 		return broken, fmt.Errorf("%w: in the middle of an event", errIncomplete)
 	}
 	delimitedByEnd := res.ContentLength < 0 && len(res.TransferEncoding) == 0
-	if delimitedByEnd && splitter.events == 0 && r.lastEvent == "" {
+	if delimitedByEnd && splitter.events == 0 {
 		return broken, fmt.Errorf("%w: no event before the connection ended", errIncomplete)
 	}
 	if !r.headWritten {
--- a/daemon/forwarder/delimited_test.go
+++ b/daemon/forwarder/delimited_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"yuccaspread/common/clock"
@@ -12,6 +13,20 @@
 	"yuccaspread/daemon/sender"
 )
 
+// unframed answers with a head without a length or chunks, and with a body that ends with the
+// connection.
+func unframed(t *testing.T, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", body)
+		_ = conn.Close()
+	}
+}
+
 // TestAnswerThatEndsWithItsConnection guards against a stream that was broken off inside an
 // event and passes for whole, where neither a length nor chunks tell its end.
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
@@ -31,15 +46,7 @@
 		"stream without an event":             {"", true, false, false},
 		"resumable stream that has no events": {"", true, true, false},
 	} {
-		address, _ := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", c.body)
-			_ = conn.Close()
-		})
+		address, _ := startUpstream(t, unframed(t, c.body))
 		upstreams := []inventory.Upstream{{Name: "u", Address: address}}
 		f := &Forwarder{
 			Source: &fixedSource{inventory.Config{Upstreams: upstreams}}, Clock: clock.System{}, Reserver: &fixedSlots{upstreams: upstreams},
@@ -56,3 +63,28 @@
 		}
 	}
 }
+
+// TestResumedStreamWithoutEventsIsNotComplete guards against a resumed stream whose upstream ended
+// before its first event, and that passes for whole: one that the caller resumes, and one that
+// another upstream has begun.
+func TestResumedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	begun, whole := strings.Join(events(1, 3), ""), strings.Join(events(1, 6), "")
+	nothing := unframed(t, "")
+	for name, c := range map[string]struct {
+		lastEventID string
+		upstreams   []http.Handler
+		body        string
+		complete    bool
+	}{
+		"resumed by the caller":                 {"12", []http.Handler{nothing}, "", false},
+		"resumed by the caller, with a third":   {"3", []http.Handler{nothing, events(4, 6)}, strings.Join(events(4, 6), ""), true},
+		"resumed elsewhere":                     {"", []http.Handler{breaksOff(events(1, 3)), nothing}, begun, false},
+		"resumed elsewhere, with a third":       {"", []http.Handler{breaksOff(events(1, 3)), nothing, events(1, 6)}, whole, true},
+		"begun by an upstream without an event": {"", []http.Handler{nothing, events(1, 6)}, whole, true},
+	} {
+		body, _, err := forwardFrom(t, c.lastEventID, 1, c.upstreams...)
+		if (err == nil) != c.complete || body != c.body {
+			t.Errorf("%s: error %v, body %q", name, err, body)
+		}
+	}
+}
--- a/daemon/forwarder/watch_test.go
+++ b/daemon/forwarder/watch_test.go
@@ -116,6 +116,12 @@
 // forwardTo forwards one resumable stream to upstreams with these handlers, and returns
 // what the caller got.
 func forwardTo(t *testing.T, retries float64, handlers ...http.Handler) (body string, outcomes []reserver.Outcome, err error) {
+	t.Helper()
+	return forwardFrom(t, "", retries, handlers...)
+}
+
+// forwardFrom is forwardTo for a stream that the caller resumes after an event, or begins.
+func forwardFrom(t *testing.T, lastEventID string, retries float64, handlers ...http.Handler) (body string, outcomes []reserver.Outcome, err error) {
 	t.Helper()
 	source, slots := &fixedSource{}, &fixedSlots{}
 	for i, handler := range handlers {
@@ -136,7 +142,7 @@
 	now := clock.System{}.Now()
 	req := &classifier.Request{
 		ID: "1", Pool: "p", Stream: true, Resumable: true, MaxAttempts: 3, Arrived: now, Deadline: now + 20*clock.Second,
-		LatencyObjective: 50, EventGap: 50, Method: http.MethodPost, Path: "/",
+		LatencyObjective: 50, EventGap: 50, LastEventID: lastEventID, Method: http.MethodPost, Path: "/",
 	}
 	recorder := httptest.NewRecorder()
 	err = f.Handle(t.Context(), recorder, req)
