--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -85,7 +85,7 @@
 	case success && r.req.Stream:
 		return r.forwardEvents(ctx, res, slot, watch)
 	default:
-		e, err = r.forwardBody(res, slot, watch)
+		e, err = r.forwardBody(ctx, res, slot, watch)
 		return e, 0, err
 	}
 }
@@ -114,7 +114,7 @@
 // forwardBody forwards an answer without events. An answer below maxBufferedBytes
 // is read completely first; a larger one is forwarded as it arrives. A failure
 // that another attempt may replace is kept in r.failure.
-func (r *requestState) forwardBody(res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, err error) {
+func (r *requestState) forwardBody(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, err error) {
 	buffered, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
 	if err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
@@ -123,7 +123,10 @@
 	slot.FirstToken(0)
 	r.recordFirstByte()
 	if len(buffered) == maxBufferedBytes {
-		return r.forwardLargeBody(res, buffered)
+		return r.forwardLargeBody(ctx, res, buffered)
+	}
+	if r.endedWithUpstream(ctx, res) {
+		return broken, fmt.Errorf("%w: the upstream is gone", errIncomplete)
 	}
 	full := &answer{status: res.StatusCode, header: res.Header, body: buffered}
 	if isFailure(res.StatusCode) && r.repeatable {
@@ -135,7 +138,7 @@
 
 // forwardLargeBody forwards the buffered start of an answer and then the rest as
 // it arrives.
-func (r *requestState) forwardLargeBody(res *http.Response, buffered []byte) (e attemptEnd, err error) {
+func (r *requestState) forwardLargeBody(ctx context.Context, res *http.Response, buffered []byte) (e attemptEnd, err error) {
 	r.writeHead(res.StatusCode, res.Header, res.ContentLength)
 	if _, err = r.w.Write(buffered); err != nil {
 		return completed, err
@@ -143,9 +146,23 @@
 	if _, err = io.Copy(r.w, res.Body); err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
+	if r.endedWithUpstream(ctx, res) {
+		return broken, fmt.Errorf("%w: the upstream is gone", errIncomplete)
+	}
 	return completed, nil
 }
 
+// isDelimitedByEnd reports whether only the end of its connection tells where an answer ends.
+func isDelimitedByEnd(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
+// endedWithUpstream reports whether an answer may have ended early: the connection that delimits
+// it is closed in the same way when its upstream is killed.
+func (r *requestState) endedWithUpstream(ctx context.Context, res *http.Response) bool {
+	return isDelimitedByEnd(res) && r.Sender.HasCrashed(ctx, res.Request.URL.Host)
+}
+
 // forwardEvents forwards a stream of events as they arrive, and returns the number of
 // whole ones.
 func (r *requestState) forwardEvents(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, events int, err error) {
@@ -164,7 +181,7 @@
 		if !errors.Is(readErr, io.EOF) || ctx.Err() != nil {
 			return broken, splitter.events, fmt.Errorf("%w: %w", errIncomplete, readErr)
 		}
-		e, err = r.finishStream(res, &splitter)
+		e, err = r.finishStream(ctx, res, &splitter)
 		return e, splitter.events, err
 	}
 }
@@ -217,16 +234,18 @@
 }
 
 // finishStream is called when the connection of a stream ended without an error. A stream
-// that ended inside an event counts as broken, and so does one without any event that only
-// the end of its connection delimits: both may come from an upstream that ended.
-func (r *requestState) finishStream(res *http.Response, splitter *eventSplitter) (e attemptEnd, err error) {
+// that ended inside an event counts as broken, and so does one that only the end of its
+// connection delimits, if it has no event or its upstream is gone.
+func (r *requestState) finishStream(ctx context.Context, res *http.Response, splitter *eventSplitter) (e attemptEnd, err error) {
 	if len(splitter.partial) > 0 {
 		return broken, fmt.Errorf("%w: in the middle of an event", errIncomplete)
 	}
-	delimitedByEnd := res.ContentLength < 0 && len(res.TransferEncoding) == 0
-	if delimitedByEnd && splitter.events == 0 {
+	if isDelimitedByEnd(res) && splitter.events == 0 {
 		return broken, fmt.Errorf("%w: no event before the connection ended", errIncomplete)
 	}
+	if r.endedWithUpstream(ctx, res) {
+		return broken, fmt.Errorf("%w: the upstream is gone", errIncomplete)
+	}
 	if !r.headWritten {
 		r.writeHead(res.StatusCode, res.Header, -1)
 	}
--- a/daemon/forwarder/delimited_test.go
+++ b/daemon/forwarder/delimited_test.go
@@ -88,3 +88,46 @@
 		}
 	}
 }
+
+// TestUnframedAnswerOfACrashedUpstreamIsNotComplete guards against an answer without a length or
+// chunks whose upstream was killed between two events, or inside a body, and that passes for whole.
+func TestUnframedAnswerOfACrashedUpstreamIsNotComplete(t *testing.T) {
+	begun, whole := strings.Join(events(1, 3), ""), strings.Join(events(1, 6), "")
+	for name, c := range map[string]struct {
+		body              string
+		stream, resumable bool
+	}{
+		"plain":            {"the start of", false, false},
+		"large":            {strings.Repeat("x", 2*maxBufferedBytes), false, false},
+		"stream":           {begun, true, false},
+		"resumable stream": {begun, true, true},
+	} {
+		var address string
+		var crash func()
+		address, crash = startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", c.body)
+			crash()
+			_ = conn.Close()
+		})
+		sound, _ := startUpstream(t, events(1, 6).ServeHTTP)
+		upstreams := []inventory.Upstream{{Name: "crashing", Address: address}, {Name: "sound", Address: sound}}
+		f := &Forwarder{
+			Source: &fixedSource{inventory.Config{Upstreams: upstreams}}, Clock: clock.System{}, Reserver: &fixedSlots{upstreams: upstreams},
+			Sender: &sender.Sender{}, Protocol: plainProtocol{},
+			Budget: &Budget{RetriesPerRequest: 1, ExtraRetries: 100, Daemons: func() int { return 1 }},
+		}
+		recorder := httptest.NewRecorder()
+		err := f.Handle(t.Context(), recorder, &classifier.Request{
+			ID: "1", Method: http.MethodPost, Path: "/", Stream: c.stream, Resumable: c.resumable, MaxAttempts: 2,
+			Deadline: clock.System{}.Now() + 5*clock.Second,
+		})
+		if got := recorder.Body.String(); err == nil && (!c.resumable || got != whole) {
+			t.Errorf("%s: passes for whole with %d bytes", name, len(got))
+		}
+	}
+}
