--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -58,6 +58,9 @@
 	NewDecider func() Decider
 	// Observer is called when a granted request ends; it may be nil.
 	Observer Observer
+	// ObserveStart is called when an upstream begins to answer a granted request, on the
+	// goroutine of the shard; it must not block and may be nil.
+	ObserveStart func(start RequestStart)
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 
--- a/daemon/granter/observer.go
+++ b/daemon/granter/observer.go
@@ -28,6 +28,15 @@
 	Granted clock.Millis
 }
 
+// RequestStart describes a granted request that an upstream has begun to answer.
+type RequestStart struct {
+	Version string
+	Pool    string
+	Route   string
+	// FirstTokenTime is the time from the grant to the first token.
+	FirstTokenTime clock.Millis
+}
+
 // Observer receives each granted request that ended.
 type Observer interface {
 	// Observe must not block, since it runs on the goroutine of the shard.
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -170,6 +170,9 @@
 	case scheduler.FirstToken:
 		if state := r.asks[m.ID]; state != nil {
 			state.firstTokenDelay = in.duration
+			if r.granter.ObserveStart != nil && state.upstream != "" {
+				r.granter.ObserveStart(RequestStart{Version: state.version, Pool: r.pool, Route: state.ask.Route, FirstTokenTime: in.duration})
+			}
 			r.update(m)
 		}
 	case scheduler.Cancel:
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -46,6 +46,7 @@
 		followingDuty(),
 		recordingDuty(),
 		schedulingDuty(),
+		releasingDuty(),
 		forwardingDuty(),
 		hostedIngressDuty(),
 	)
@@ -75,6 +76,7 @@
 	fx.Out
 
 	Follower     *follower.Follower
+	Register     *fetcher.Fetcher
 	Source       inventory.Source
 	ConfigSource configSource
 	Seeds        seedLister
@@ -87,8 +89,9 @@
 		return out, err
 	}
 	hosted := params.Settings.Hosted
+	register := fetcher.New(registerURL.Host)
 	f := &follower.Follower{
-		Register: fetcher.New(registerURL.Host), Tables: parser.Tables(), Clock: params.Clock, Registerer: params.Registerer,
+		Register: register, Tables: parser.Tables(), Clock: params.Clock, Registerer: params.Registerer,
 		Decoder: &parser.Parser{
 			RegionByZone: hosted.Regions, RetryShare: hosted.RetryShare, AddressLifetime: hosted.AddressLifetimeMS,
 			CrossRegionBytes: hosted.CrossRegionBytes,
@@ -97,7 +100,7 @@
 	peers := &follower.Exchanger{Follower: f, View: params.Gossiper, Connector: params.Connector}
 	f.Peers, f.Duty, f.ApplyBound = peers, peers.Duty, hosted.ConfigApplyMS
 	return followerResult{
-		Follower: f, Source: f, ConfigSource: f, Service: peers.Register,
+		Follower: f, Register: register, Source: f, ConfigSource: f, Service: peers.Register,
 		Seeds: params.File.Seeds,
 	}, nil
 }
--- a/daemon/judge/counts.go
+++ b/daemon/judge/counts.go
@@ -50,9 +50,9 @@
 	}
 }
 
-// upperBucket returns the lowest index such that at most share of the values lie
+// UpperBucket returns the lowest index such that at most share of the values lie
 // in that bucket and those after it.
-func (h *Histogram) upperBucket(share float64) int {
+func (h *Histogram) UpperBucket(share float64) int {
 	bound := share * float64(h.Total())
 	above := 0
 	for b := Buckets - 1; b >= 0; b-- {
--- a/daemon/judge/judge.go
+++ b/daemon/judge/judge.go
@@ -277,9 +277,9 @@
 func (c *Counts) eventBucket(test Test) (bucket int, usable bool) {
 	switch test {
 	case TestFirst:
-		return c.First.upperBucket(slowShare) + slowBuckets, c.First.Total() >= minQuantileRequests
+		return c.First.UpperBucket(slowShare) + slowBuckets, c.First.Total() >= minQuantileRequests
 	case TestGap:
-		return c.Gap.upperBucket(slowShare) + slowBuckets, c.Gap.Total() >= minQuantileRequests
+		return c.Gap.UpperBucket(slowShare) + slowBuckets, c.Gap.Total() >= minQuantileRequests
 	case TestShort:
 		return c.Length.lowerBucket(shortShare), c.Length.Total() >= minQuantileRequests
 	case TestFailed, TestEmpty:
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -25,6 +25,9 @@
 	// GrantedSlots returns the number of an upstream's slots that a scheduler
 	// granted to this daemon and that are in use; nil stands for none.
 	GrantedSlots func(upstream string) int
+	// Holds reports whether an upstream gets requests from its scheduler only; nil stands
+	// for none.
+	Holds func(u inventory.Upstream) bool
 
 	mu sync.Mutex
 	// limits is what this daemon may send to upstreams that name a limit.
@@ -96,7 +99,7 @@
 	}
 	hasUpstream := false
 	for _, u := range upstreams {
-		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) {
+		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) || (l.Holds != nil && l.Holds(u)) {
 			continue
 		}
 		hasUpstream = true
--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -235,3 +235,27 @@
 		t.Fatal("the report of a silent scheduler never expires")
 	}
 }
+
+// TestVersionsOfTheListAreHeldToTheirShares guards against upstreams that nothing but the list names
+// the version of, and that get more than the share of their version.
+func TestVersionsOfTheListAreHeldToTheirShares(t *testing.T) {
+	h := newHarness(100)
+	list := []inventory.Upstream{{Name: "old", Slots: 100, Version: "v1"}, {Name: "new", Slots: 100, Version: "v2"}}
+	h.send(scheduler.Shares{Shares: map[string]float64{"v2": 0.1}, NonIdempotent: []string{"v2"}}, scheduler.Upstreams{List: list})
+	onNew := 0
+	for number := range uint64(90) {
+		h.send(h.newAsk(number, 0), scheduler.Confirm{ID: askID(number)})
+		if h.granted[number] == "new" {
+			onNew++
+		}
+	}
+	if onNew < 7 || onNew > 9 {
+		t.Errorf("%d of 90 requests went to the version with a tenth", onNew)
+	}
+	list[1].Version = "v1"
+	h.send(scheduler.Upstreams{List: list})
+	h.send(h.newAsk(100, 0), scheduler.Confirm{ID: askID(100)})
+	if h.granted[100] != "new" {
+		t.Errorf("the upstream was replaced by one of another version, and the request went to %q", h.granted[100])
+	}
+}
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -19,7 +19,8 @@
 	bit int
 	// listed is set while the latest Upstreams message contains it.
 	listed bool
-	// version, draining and foreign come from load reports.
+	// version comes from the list and from load reports, draining and foreign from load
+	// reports.
 	version  string
 	draining bool
 	foreign  foreignLoad
@@ -189,6 +190,9 @@
 		if u == nil {
 			continue
 		}
+		if entry.Version != u.Version {
+			u.version = entry.Version
+		}
 		u.Upstream = entry
 		u.Slots = max(entry.Slots, 1)
 		u.listed = true
@@ -206,7 +210,7 @@
 		if used&(1<<bit) != 0 {
 			continue
 		}
-		u := &upstream{Upstream: entry, bit: bit, integralAt: s.now, addedAt: s.now}
+		u := &upstream{Upstream: entry, version: entry.Version, bit: bit, integralAt: s.now, addedAt: s.now}
 		u.speed = s.speeds.Upstream(entry.Name, entry.Generation)
 		u.generationSpeed = s.speeds.Generation(entry.Generation)
 		s.upstreams = append(s.upstreams, u)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -76,6 +76,9 @@
 	// CrossRegionBytes is the volume that each tier may send between regions per
 	// hour, in bytes; 0 keeps requests in their region.
 	CrossRegionBytes int64 `toml:"cross_region_bytes_per_hour" validate:"gte=0"`
+	// OrderShare is the largest share of a pool's requests that a version may get before
+	// the time of the order for it is over; 0 stands for a tenth.
+	OrderShare float64 `toml:"order_share" validate:"gte=0,lt=1"`
 	// Regions maps failure domains to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 }
