--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -113,7 +113,7 @@
 		Settled: members.Settled,
 	}
 	if s.Hosted != nil && s.Hosted.LimitWindowS > 0 {
-		slack := float64(s.Hosted.LimitSlackTokens)
+		slack := s.Hosted.LimitSlackTokens
 		extra := restartSlackFraction * slack
 		l.RestartExtra = limiter.Extra{PerSecond: extra / s.Hosted.LimitWindowS, Tokens: extra}
 		l.MaxOwnPartOverdraft = int(ownPartSlackFraction * slack)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -98,7 +98,7 @@
 		},
 	}
 	peers := &follower.Exchanger{Follower: f, View: params.Gossiper, Connector: params.Connector}
-	f.Peers, f.Duty, f.ApplyBound = peers, peers.Duty, hosted.ConfigApplyMS
+	f.Peers, f.Duty, f.ApplyBound = peers, peers.Duty, clock.Millis(hosted.ConfigApplyMS)
 	return followerResult{
 		Follower: f, Register: register, Source: f, ConfigSource: f, Service: peers.Register,
 		Seeds: params.File.Seeds,
@@ -173,9 +173,9 @@
 	}
 }
 
-// fraction returns the given share of a duration; share is between 0 and 1.
-func fraction(total clock.Millis, share float64) clock.Millis {
-	return clock.Millis(share * float64(total))
+// fraction returns the given share of a duration in milliseconds; share is between 0 and 1.
+func fraction(totalMS, share float64) clock.Millis {
+	return clock.Millis(share * totalMS)
 }
 
 // memoryFraction is the share of the VM's memory that is set as the memory limit
@@ -185,7 +185,7 @@
 
 func limitMemory(s settings) {
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryFraction * s.MemoryMB * (1 << 20)))
 	}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -39,14 +39,15 @@
 	Recorder recordingSettings `toml:"recorder"`
 	// MemoryMB is the memory that the VM gives this process, in MiB; 0 sets no
 	// limit.
-	MemoryMB int `toml:"memory_mb" validate:"gte=0"`
+	MemoryMB float64 `toml:"memory_mb" validate:"gte=0"`
 	// Hosted is set if the daemon uses the platform's own formats and protocols
 	// instead of ours: the adapters in platform/ then handle callers, operators
 	// and upstreams.
 	Hosted *hostedSettings `toml:"hosted"`
 }
 
-// hostedSettings are the settings of the adapters in platform/.
+// hostedSettings are the settings of the adapters in platform/. What the platform states is a
+// decimal number.
 type hostedSettings struct {
 	// ReadyListen is the address for the platform's readiness checks,
 	// DirectoryListen the one for callers that resolve daemon addresses.
@@ -56,13 +57,13 @@
 	MetricsListen string `toml:"metrics_listen" validate:"omitempty,hostname_port"`
 	// StopMS is the time between the stop signal and the platform's kill of the
 	// process, in milliseconds.
-	StopMS clock.Millis `toml:"stop_ms" validate:"gt=0"`
+	StopMS float64 `toml:"stop_ms" validate:"gte=1"`
 	// AddressLifetimeMS is how long callers may cache a list of addresses, in
 	// milliseconds.
 	AddressLifetimeMS clock.Millis `toml:"address_lifetime_ms" validate:"gt=0"`
 	// ConfigApplyMS is the time within which an acknowledged change of the configuration
 	// has to be in force on all daemons, in milliseconds; 0 for no bound.
-	ConfigApplyMS clock.Millis `toml:"config_apply_ms" validate:"omitempty,gte=1000"`
+	ConfigApplyMS float64 `toml:"config_apply_ms" validate:"omitempty,gte=1000"`
 	// RetryShare is the number of retries that the fleet may make per request,
 	// RetryExtra the number that it may make in addition per window of the
 	// forwarder's budget.
@@ -70,7 +71,7 @@
 	RetryExtra float64 `toml:"retry_extra" validate:"gte=0"`
 	// LimitSlackTokens is the number of tokens by which the users' platform lets an
 	// organisation exceed its limit in any of its windows.
-	LimitSlackTokens int `toml:"limit_slack_tokens" validate:"gte=0"`
+	LimitSlackTokens float64 `toml:"limit_slack_tokens" validate:"gte=0"`
 	// LimitWindowS is the length of these windows, in seconds.
 	LimitWindowS float64 `toml:"limit_window_s" validate:"required_with=LimitSlackTokens,gte=0"`
 	// CrossRegionBytes is the volume that each tier may send between regions per
@@ -78,7 +79,7 @@
 	CrossRegionBytes int64 `toml:"cross_region_bytes_per_hour" validate:"gte=0"`
 	// OrderShare is the largest share of a pool's requests that a version may get before
 	// the time of the order for it is over; 0 stands for a tenth.
-	OrderShare float64 `toml:"order_share" validate:"gte=0,lt=1"`
+	OrderShare float64 `toml:"order_share" validate:"gte=0,lte=1"`
 	// Regions maps failure domains to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 }
