--- a/common/catcher/catcher.go
+++ b/common/catcher/catcher.go
@@ -23,8 +23,10 @@
 const queuedSignals = 16
 
 // New starts to receive signals. It never stops: the default action of all three signals
-// ends the process, and a process that is stopping still has answers to complete.
+// ends the process, and a process that is stopping still has answers to complete. SIGPIPE is
+// ignored; it would end the process when nobody reads its log any more.
 func New() *Catcher {
+	signal.Ignore(syscall.SIGPIPE)
 	c := &Catcher{stop: make(chan struct{}), reload: make(chan struct{}, 1)}
 	signals := make(chan os.Signal, queuedSignals)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
