--- a/common/catcher/catcher.go
+++ b/common/catcher/catcher.go
@@ -14,9 +14,11 @@
 // Catcher turns SIGINT and SIGTERM into one request to stop, and SIGHUP into requests to
 // reload. Create it with New.
 type Catcher struct {
+	// stop is closed by the first request to stop.
 	stop     chan struct{}
 	stopOnce sync.Once
-	reload   chan struct{}
+	// reload has room for one request to reload.
+	reload chan struct{}
 }
 
 // queuedSignals is how many signals may arrive while one is logged.
@@ -46,12 +48,12 @@
 // RequestStop does what SIGTERM does. Only the first request has an effect.
 func (c *Catcher) RequestStop() { c.stopOnce.Do(func() { close(c.stop) }) }
 
-// Stop returns a channel that is closed once a stop was requested.
-func (c *Catcher) Stop() <-chan struct{} { return c.stop }
+// StopRequested returns a channel that is closed once a stop was requested.
+func (c *Catcher) StopRequested() <-chan struct{} { return c.stop }
 
-// Reload returns a channel that receives after requests to reload; those that come before
+// ReloadRequested returns a channel that receives after requests to reload; those that come before
 // the last one was received count as one.
-func (c *Catcher) Reload() <-chan struct{} { return c.reload }
+func (c *Catcher) ReloadRequested() <-chan struct{} { return c.reload }
 
 // StopContext returns a context that ends once a stop was requested.
 func (c *Catcher) StopContext() (ctx context.Context, cancel context.CancelFunc) {
--- a/common/catcher/catcher_test.go
+++ b/common/catcher/catcher_test.go
@@ -31,15 +31,15 @@
 	ctx, cancel := c.StopContext()
 	defer cancel()
 	send(syscall.SIGHUP)
-	receives(t, "reload", c.Reload())
+	receives(t, "reload", c.ReloadRequested())
 	if ctx.Err() != nil {
 		t.Error("SIGHUP requested a stop")
 	}
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP} {
 		send(s)
-		receives(t, "stop", c.Stop())
+		receives(t, "stop", c.StopRequested())
 	}
-	receives(t, "reload in a stop", c.Reload())
+	receives(t, "reload in a stop", c.ReloadRequested())
 	receives(t, "context", ctx.Done())
 	c.RequestStop()
 }
--- a/daemon/duty_reloading.go
+++ b/daemon/duty_reloading.go
@@ -46,7 +46,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.signals.Reload():
+		case <-f.signals.ReloadRequested():
 			f.reload("signal")
 		case <-ticker.C:
 			if modTime := f.modTime(); !modTime.Equal(f.readModTime) {
--- a/daemon/forwarder/stop.go
+++ b/daemon/forwarder/stop.go
@@ -15,8 +15,8 @@
 type Stop interface {
 	// Begun returns a context that ends when the planned stop begins.
 	Begun() context.Context
-	// Cutoff returns when the connections of requests in progress are closed, less the time
-	// to write their last answers. It is valid once Begun has ended.
+	// Cutoff returns when no request may be in progress any more. It is valid once Begun has
+	// ended.
 	Cutoff() clock.Millis
 }
 
@@ -27,7 +27,8 @@
 // to another daemon.
 const StoppingRetryAfter = 50 * clock.Millisecond
 
-// stopCheckInterval is the time between two looks at how long the runs of a route take.
+// stopCheckInterval is the time between two looks at the time that a request needs, which changes
+// with each run of its route.
 const stopCheckInterval = 50 * clock.Millisecond
 
 // endBeforeCutoff returns a context that ends with the cause errStopping when no more than the
@@ -43,6 +44,7 @@
 		}
 		cancelCause(errStopping)
 	}
+	// AfterFunc would end the context in a goroutine, after the caller has gone on.
 	if r.Stop.Begun().Err() != nil && r.spareTime(needed) <= 0 {
 		cancelCause(errStopping)
 	}
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -60,7 +60,7 @@
 	if err = app.Start(context.Background()); err != nil {
 		return err
 	}
-	<-signals.Stop()
+	<-signals.StopRequested()
 	klog.InfoS("daemon stopping", "name", s.Name)
 	defer func() { klog.InfoS("daemon stopped", "name", s.Name) }()
 	ctx, cancel := stopContext(s)
