--- a/daemon/forwarder/decide_test.go
+++ b/daemon/forwarder/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -68,12 +69,13 @@
 // TestSplitterReturnsOnlyWholeEvents guards against forwarding a part of an event,
 // whatever the read boundaries are: another upstream could not continue it.
 func TestSplitterReturnsOnlyWholeEvents(t *testing.T) {
-	text := ""
-	for number := 1; number <= 5; number++ {
-		text += fmt.Sprintf("id: %d\ndata: a\ndata: b\n\n", number)
-	}
-	torn := text + "id: 6\nda"
 	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		text := ""
+		for number := 1; number <= 5; number++ {
+			text += strings.ReplaceAll(fmt.Sprintf("id: %d\ndata: a\ndata: b\n\n", number), "\n", lineEnd)
+		}
+		torn := text + "id: 6\nda"
 		var s eventSplitter
 		out, rest := "", torn
 		for rest != "" {
--- a/daemon/forwarder/delimited_test.go
+++ b/daemon/forwarder/delimited_test.go
@@ -37,14 +37,16 @@
 		// complete means that the caller gets the whole body with a proper end.
 		complete bool
 	}{
-		"plain":                               {"the answer", false, false, true},
-		"stream":                              {events, true, false, true},
-		"resumable stream":                    {events, true, true, true},
-		"stream inside an event":              {events + "id: 3\nda", true, false, false},
-		"resumable stream inside an event":    {events + "id: 3\nda", true, true, false},
-		"stream inside its first event":       {"id: 1", true, false, false},
-		"stream without an event":             {"", true, false, false},
-		"resumable stream that has no events": {"", true, true, false},
+		"plain":                                 {"the answer", false, false, true},
+		"stream":                                {events, true, false, true},
+		"resumable stream":                      {events, true, true, true},
+		"stream with other line ends":           {"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", true, false, true},
+		"resumable stream with other line ends": {"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", true, true, true},
+		"stream inside an event":                {events + "id: 3\nda", true, false, false},
+		"resumable stream inside an event":      {events + "id: 3\nda", true, true, false},
+		"stream inside its first event":         {"id: 1", true, false, false},
+		"stream without an event":               {"", true, false, false},
+		"resumable stream that has no events":   {"", true, true, false},
 	} {
 		address, _ := startUpstream(t, unframed(t, c.body))
 		upstreams := []inventory.Upstream{{Name: "u", Address: address}}
--- a/daemon/forwarder/splitter.go
+++ b/daemon/forwarder/splitter.go
@@ -1,8 +1,9 @@
 package forwarder
 
 import (
-	"bytes"
 	"strings"
+
+	"yuccaspread/daemon/splitter"
 )
 
 // eventSplitter splits a byte stream into server-sent events. The zero value is
@@ -20,16 +21,17 @@
 // complete now.
 func (s *eventSplitter) feed(piece []byte) (out []byte) {
 	s.partial = append(s.partial, piece...)
-	at := bytes.LastIndex(s.partial, []byte("\n\n"))
-	if at < 0 {
-		return nil
-	}
-	out = s.partial[:at+2]
-	s.partial = append([]byte(nil), s.partial[at+2:]...)
-	for event := range bytes.SplitSeq(out[:at], []byte("\n\n")) {
+	whole := 0
+	for end := splitter.EventEnd(s.partial); end >= 0; end = splitter.EventEnd(s.partial[whole:]) {
 		s.events++
-		s.recordID(string(event))
+		s.recordID(string(s.partial[whole : whole+end]))
+		whole += end
+	}
+	if whole == 0 {
+		return nil
 	}
+	out = s.partial[:whole]
+	s.partial = append([]byte(nil), s.partial[whole:]...)
 	return out
 }
 
--- a/daemon/relayer/events.go
+++ b/daemon/relayer/events.go
@@ -1,10 +1,11 @@
 package relayer
 
 import (
-	"bytes"
 	"errors"
 	"strconv"
 	"strings"
+
+	"yuccaspread/daemon/splitter"
 )
 
 // errMissingEvent means that an event of the stream is missing.
@@ -39,12 +40,12 @@
 func (e *eventFilter) feed(piece []byte) (out []byte, err error) {
 	e.buffer = append(e.buffer, piece...)
 	for !e.done {
-		end := bytes.Index(e.buffer, []byte("\n\n"))
+		end := splitter.EventEnd(e.buffer)
 		if end < 0 {
 			break
 		}
-		event := e.buffer[:end+2]
-		e.buffer = e.buffer[end+2:]
+		event := e.buffer[:end]
+		e.buffer = e.buffer[end:]
 		admitted, err := e.admit(event)
 		if err != nil {
 			return out, err
@@ -91,7 +92,7 @@
 // parseEvent returns the id and the data of an event.
 func parseEvent(event string) (id, data string) {
 	for line := range strings.SplitSeq(event, "\n") {
-		name, value, _ := strings.Cut(line, ":")
+		name, value, _ := strings.Cut(strings.TrimSuffix(line, "\r"), ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
 		case "id":
--- a/daemon/relayer/events_test.go
+++ b/daemon/relayer/events_test.go
@@ -16,12 +16,13 @@
 		err      error
 		done     bool
 	}{
-		"torn":          {in: event("a.1:1", "x") + "id: a.1:2\nda", want: event("a.1:1", "x")},
-		"other attempt": {in: event("b.1:1", "y") + event("a.1:1", "x"), want: event("a.1:1", "x")},
-		"late":          {in: event("a.1:1", "x") + event("a.1:1", "x") + event("2", "z"), want: event("a.1:1", "x") + event("2", "z")},
-		"gap":           {in: event("a.1:1", "x") + event("a.1:3", "z"), want: event("a.1:1", "x"), err: errMissingEvent},
-		"no ids":        {in: "data: x\n\ndata: x\n\n", want: "data: x\n\ndata: x\n\n"},
-		"end mark":      {in: "data: [DONE]\n\ndata: more\n\n", want: "data: [DONE]\n\n", done: true},
+		"torn":            {in: event("a.1:1", "x") + "id: a.1:2\nda", want: event("a.1:1", "x")},
+		"other attempt":   {in: event("b.1:1", "y") + event("a.1:1", "x"), want: event("a.1:1", "x")},
+		"late":            {in: event("a.1:1", "x") + event("a.1:1", "x") + event("2", "z"), want: event("a.1:1", "x") + event("2", "z")},
+		"gap":             {in: event("a.1:1", "x") + event("a.1:3", "z"), want: event("a.1:1", "x"), err: errMissingEvent},
+		"no ids":          {in: "data: x\n\ndata: x\n\n", want: "data: x\n\ndata: x\n\n"},
+		"other line ends": {in: "id: a.1:1\r\ndata: x\r\n\r\ndata: [DONE]\r\n\r\n", want: "id: a.1:1\r\ndata: x\r\n\r\ndata: [DONE]\r\n\r\n", done: true},
+		"end mark":        {in: "data: [DONE]\n\ndata: more\n\n", want: "data: [DONE]\n\n", done: true},
 	} {
 		// Feeds the input at once, and byte by byte.
 		for _, size := range []int{len(c.in), 1} {
