--- a/daemon/classifier/hosts.go
+++ b/daemon/classifier/hosts.go
@@ -80,15 +80,12 @@
 		Idempotent: route.Idempotent, Stream: route.Stream, Resumable: route.Resumable, MaxAttempts: route.MaxAttempts,
 		LatencyObjective: route.ObjectiveMS, EventGap: route.GapMS, Patience: route.PatienceMS, Arrived: head.Arrived, PromptTokens: head.PromptTokens,
 		MaxTokens: head.MaxTokens, ExpectedTokens: head.ExpectedTokens, LastEventID: head.LastEventID,
-		Method: head.Method, Host: head.Host, Path: head.Path, Header: head.Header, Body: body,
+		Method: head.Method, Host: head.Host, Path: head.target(), Header: head.Header, Body: body,
 		Fingerprint: fingerprint(a, head, body),
 	}
 	for _, part := range head.PromptParts {
 		req.PromptParts = append(req.PromptParts, xxhash.Sum64String(pool.Name+"\x00"+part))
 	}
-	if head.Query != "" {
-		req.Path += "?" + head.Query
-	}
 	timeout := cmp.Or(head.Timeout, tier.DeadlineMS, defaultTimeout)
 	if route.TimeoutMS > 0 {
 		timeout = min(timeout, route.TimeoutMS)
--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
@@ -93,15 +94,38 @@
 // upstream, after it may have run.
 func (r *Request) Repeatable() bool { return r.Idempotent || (r.Stream && r.Resumable) }
 
+// TargetOf returns the path with the query of a request as its caller wrote them.
+func TargetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (h Head) target() string {
+	switch {
+	case h.Target != "":
+		return h.Target
+	case h.Query != "":
+		return h.Path + "?" + h.Query
+	default:
+		return h.Path
+	}
+}
+
 // Head is the input of the classifier besides the body.
 type Head struct {
 	ID      string
 	Arrived clock.Millis
 	Method  string
 	Host    string
-	Path    string
-	Query   string
-	Header  http.Header
+	// Path and Query choose the route.
+	Path  string
+	Query string
+	// Target is the path with the query as the caller wrote them, which upstreams get
+	// unchanged; empty stands for Path with Query.
+	Target string
+	Header http.Header
 
 	// The fields below are set by adapters for callers that use another API. For
 	// this API, Classify reads them from Header or the body.
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -119,7 +119,7 @@
 	}
 	defer release()
 	req, err := c.Classify(organisation, classifier.Head{
-		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header,
+		ID: id, Arrived: arrived, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Target: classifier.TargetOf(r), Header: r.Header,
 	}, body)
 	if err != nil {
 		return err
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -11,7 +11,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -55,7 +57,7 @@
 type Call struct {
 	Method  string
 	Address string
-	// Path is the path with the query.
+	// Path is the path with the query, which is sent as it is.
 	Path   string
 	Header http.Header
 	// Host is the value of the Host header; empty stands for Address.
@@ -222,6 +224,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !strings.HasPrefix(call.Path, "//") {
+		// An opaque URL is written as it is; a path is encoded anew, which may change it.
+		req.URL = &url.URL{Scheme: req.URL.Scheme, Host: req.URL.Host, Opaque: call.Path}
+	}
 	// The transport retries a request on its own if GetBody can return the body
 	// again.
 	req.GetBody = nil
