--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -194,6 +194,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	stuck := dumpAfter(f.t, f.daemons[i], movesTimeout)
+	defer stuck.Stop()
 	if err := f.daemons[i].Wait(); err != nil {
 		f.t.Errorf("daemon %d: %v", i, err)
 	}
--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -29,7 +29,8 @@
 	operatorHash  = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e"
 	familiesToken = "families-token"
 	familiesHash  = "b93f098f33a01cdf4a0a54ea183559461e03f5465efd17fa8660935bd9428ebc"
-	// movesTimeout bounds each wait of the test.
+	// movesTimeout bounds each wait of the test. All of them together end before the
+	// time limit of go test, which would hide what failed.
 	movesTimeout = 3 * time.Minute
 	// enginesPerPool is the number of engines in each of the two pools.
 	enginesPerPool = 4
@@ -56,6 +57,9 @@
 	badPoolServed [2]int
 }
 
+// boundedClient is for calls that no context ends.
+var boundedClient = &http.Client{Timeout: fleetTimeout}
+
 // TestMovesFinishAfterLeaderIsKilled moves two pools at once and kills the leader
 // in the first stage. One pool's new version works and the move has to finish;
 // the other's fails requests and has to be rolled back. Half of the engines check
@@ -83,8 +87,9 @@
 	if !d.leaderKilled || len(d.leaderByEpoch) < 2 {
 		t.Errorf("leader killed: %t; leaders by epoch since then: %v, want 2 or more epochs", d.leaderKilled, d.leaderByEpoch)
 	}
+	end := time.Now().Add(movesTimeout)
 	for _, u := range d.config.Upstreams {
-		d.checkEngine(u)
+		d.checkEngine(u, end)
 	}
 	if oldServed, newServed := d.badPoolServed[0], d.badPoolServed[1]; newServed == 0 || float64(newServed) > firstShare*float64(oldServed+newServed) {
 		t.Errorf("the failing version served %d requests and the old one %d, want at least 1 and at most the first share", newServed, oldServed)
@@ -100,17 +105,18 @@
 	Served  map[string]int `json:"served"`
 }
 
-// checkEngine waits until only the version that the move should result in is
-// loaded, checks that the engine began at most one load, and adds what it served
-// to badPoolServed.
-func (d *deployment) checkEngine(u inventory.Upstream) {
+// checkEngine waits, at most until end, until only the version that the move should
+// result in is loaded, checks that the engine began at most one load, and adds what it
+// served to badPoolServed.
+func (d *deployment) checkEngine(u inventory.Upstream, end time.Time) {
 	wanted := map[string]string{"good": "v2", "bad": "v1"}[u.Pool]
 	var state engineState
-	for end := time.Now().Add(movesTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for {
 		d.get("http://"+u.Address+"/v1/versions", &state)
-		if state.Version == wanted && len(state.Loaded) == 1 {
+		if state.Version == wanted && len(state.Loaded) == 1 || time.Now().After(end) {
 			break
 		}
+		time.Sleep(200 * time.Millisecond)
 	}
 	if state.Version != wanted || len(state.Loaded) != 1 {
 		d.t.Errorf("engine %s: %+v, want only version %s loaded", u.Name, state, wanted)
@@ -198,13 +204,15 @@
 	}
 	d.t.Cleanup(func() {
 		_ = cmd.Process.Signal(syscall.SIGTERM)
+		stuck := dumpAfter(d.t, cmd, movesTimeout)
 		_ = cmd.Wait()
+		stuck.Stop()
 		if d.t.Failed() {
 			d.t.Logf("%s:\n%s", program, tail(log.String()))
 		}
 	})
 	for end := time.Now().Add(movesTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		res, err := http.Get("http://" + probe)
+		res, err := boundedClient.Get("http://" + probe)
 		if err == nil {
 			_ = res.Body.Close()
 			return cmd
@@ -214,6 +222,15 @@
 	return nil
 }
 
+// dumpAfter fails the test and makes the program print its goroutines and exit unless the
+// timer is stopped before timeout has passed.
+func dumpAfter(t testing.TB, cmd *exec.Cmd, timeout time.Duration) *time.Timer {
+	return time.AfterFunc(timeout, func() {
+		t.Errorf("%s has not stopped after %s", cmd, timeout)
+		_ = cmd.Process.Signal(syscall.SIGQUIT)
+	})
+}
+
 func tail(log string) string {
 	const maxBytes = 8000
 	return log[max(len(log)-maxBytes, 0):]
@@ -224,7 +241,7 @@
 	content, _ := json.Marshal(body)
 	req, _ := http.NewRequestWithContext(context.Background(), method, d.adminURL+path, bytes.NewReader(content))
 	req.Header.Set("Authorization", "Bearer "+operatorToken)
-	res, err := http.DefaultClient.Do(req)
+	res, err := boundedClient.Do(req)
 	if err != nil {
 		return err
 	}
@@ -240,7 +257,7 @@
 }
 
 func (d *deployment) get(url string, reply any) {
-	res, err := http.Get(url)
+	res, err := boundedClient.Get(url)
 	if err != nil {
 		return
 	}
