--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -6,17 +6,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"yuccaspread/common/allocator"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/loader"
 )
@@ -67,9 +67,9 @@
 			t.Fatalf("build %s: %v\n%s", program, err, out)
 		}
 	}
-	f.reservePorts("PLATFORM", "ENGINE1", "ENGINE2", "ENGINE3", "SERVICE1", "DAEMON1", "DAEMON2", "DAEMON3", "PEER1", "PEER2", "PEER3")
+	f.assignPorts("PLATFORM", "ENGINE1", "ENGINE2", "ENGINE3", "SERVICE1", "DAEMON1", "DAEMON2", "DAEMON3", "PEER1", "PEER2", "PEER3")
 	for i := range regions {
-		f.reservePorts(fmt.Sprintf("LISTEN_%d", i), fmt.Sprintf("PEERLISTEN_%d", i))
+		f.assignPorts(fmt.Sprintf("LISTEN_%d", i), fmt.Sprintf("PEERLISTEN_%d", i))
 	}
 	f.startProgram("yuccastandin", f.writeDemoFile("standin"))
 	f.await("the platform", func() bool { return f.get("PLATFORM", "/vms", nil) == nil })
@@ -100,24 +100,15 @@
 	}
 }
 
-// reservedPorts holds the ports of all fleets of this process.
-var reservedPorts sync.Map
-
-// reservePorts finds a free port for each name that no other fleet of this
-// process uses.
-func (f *fleet) reservePorts(names ...string) {
+// assignPorts assigns a port to each name.
+func (f *fleet) assignPorts(names ...string) {
+	f.t.Helper()
 	for _, name := range names {
-		for f.ports[name] == "" {
-			socket, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				f.t.Fatal(err)
-			}
-			port := fmt.Sprint(socket.Addr().(*net.TCPAddr).Port)
-			_ = socket.Close()
-			if _, taken := reservedPorts.LoadOrStore(port, true); !taken {
-				f.ports[name] = port
-			}
+		port, err := allocator.Port()
+		if err != nil {
+			f.t.Fatal(err)
 		}
+		f.ports[name] = strconv.Itoa(port)
 	}
 }
 
--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"testing"
 	"time"
 
+	"yuccaspread/common/allocator"
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/mover"
@@ -143,7 +143,11 @@
 			t.Fatalf("build %s: %v\n%s", program, err, out)
 		}
 	}
-	d.ports = freePorts(t, 1+2*enginesPerPool+2*2)
+	ports, err := allocator.Addresses(1 + 2*enginesPerPool + 2*2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.ports = ports
 	d.fillInventory()
 	var settings strings.Builder
 	fmt.Fprintf(&settings, "[platform]\nlisten = %q\nweight_bytes_per_second = 2e9\nweight_bytes = 1e9\n", d.ports[0])
@@ -371,18 +375,3 @@
 		d.adminURL = d.daemons[1]
 	}
 }
-
-// freePorts returns loopback addresses whose ports were free when they were
-// chosen.
-func freePorts(t *testing.T, count int) (addresses []string) {
-	t.Helper()
-	for range count {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer socket.Close()
-		addresses = append(addresses, socket.Addr().String())
-	}
-	return addresses
-}
--- a/daemon/prover/cluster_test.go
+++ b/daemon/prover/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"yuccaspread/common/allocator"
 )
 
 // binaryDir is the directory to which TestMain builds the programs.
@@ -130,21 +131,6 @@
 	waitTimeout       = 30 * time.Second
 )
 
-// freePorts returns loopback addresses whose ports were free when they were
-// chosen.
-func freePorts(t *testing.T, count int) (addresses []string) {
-	t.Helper()
-	for range count {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = socket.Close() }()
-		addresses = append(addresses, socket.Addr().String())
-	}
-	return addresses
-}
-
 // startProgram writes the settings of a program and starts it.
 func (c *cluster) startProgram(program, name, settings string) *process {
 	c.t.Helper()
@@ -202,7 +188,10 @@
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
 	c := &cluster{t: t, dir: t.TempDir()}
-	ports := freePorts(t, 2+options.engines+2*daemonCount)
+	ports, err := allocator.Addresses(2 + options.engines + 2*daemonCount)
+	if err != nil {
+		t.Fatal(err)
+	}
 	platform, service, ports := ports[0], ports[1], ports[2:]
 	c.platformAddress = platform
 	c.serviceAddress, c.engineAddresses = service, ports[:options.engines]
--- a/daemon/sender/sender_test.go
+++ b/daemon/sender/sender_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"yuccaspread/common/allocator"
 	"yuccaspread/daemon/sender"
 )
 
@@ -95,13 +96,11 @@
 // TestRefusedConnectionIsNotSent guards against a refused connection that counts as
 // sent: its request could then not be retried.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := allocator.Addresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := socket.Addr().String()
-	_ = socket.Close()
-	err = sendError(t.Context(), &sender.Sender{}, sender.Call{Method: http.MethodPost, Address: address, Path: "/", NewConnection: true})
+	err = sendError(t.Context(), &sender.Sender{}, sender.Call{Method: http.MethodPost, Address: addresses[0], Path: "/", NewConnection: true})
 	var failed *sender.Error
 	if !errors.As(err, &failed) || failed.Sent {
 		t.Fatalf("got %v, want not sent", err)
--- a/standin/calls.go
+++ b/standin/calls.go
@@ -6,22 +6,20 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 
+	"yuccaspread/common/allocator"
 	"yuccaspread/standin/caller"
 	"yuccaspread/standin/meter"
 )
 
 // printPorts prints distinct TCP ports that are free at the moment.
-func printPorts(ctx context.Context, out io.Writer, count int) (err error) {
-	var config net.ListenConfig
+func printPorts(out io.Writer, count int) (err error) {
 	for range count {
-		socket, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		port, err := allocator.Port()
 		if err != nil {
 			return err
 		}
-		defer func() { _ = socket.Close() }()
-		if _, err = fmt.Fprintln(out, socket.Addr().(*net.TCPAddr).Port); err != nil {
+		if _, err = fmt.Fprintln(out, port); err != nil {
 			return err
 		}
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -49,7 +49,7 @@
 	ports.Int(&count, "n", "count", "how many")
 	flaggy.Parse()
 	if ports.Used {
-		return printPorts(ctx, os.Stdout, count)
+		return printPorts(os.Stdout, count)
 	}
 	var s settings
 	if err = loader.Load(source, &s); err != nil || check {
