--- a/daemon/limiter/borrower.go
+++ b/daemon/limiter/borrower.go
@@ -151,15 +151,15 @@
 	return want
 }
 
-// AddLoan adds a loan that was asked for at now. If it falls short, the home is
-// not asked again for up to maxRefusalTime.
-func (b *Borrower) AddLoan(now clock.Millis, organisation string, loan Loan) {
+// AddLoan adds a loan that arrived now. If it falls short, the home is not asked again for
+// up to maxRefusalTime.
+func (b *Borrower) AddLoan(asked, now clock.Millis, organisation string, loan Loan) {
 	bal := b.balance(organisation)
 	bal.requests += loan.Requests
 	bal.tokens += loan.Tokens
-	bal.chunkUntil = now + chunkLifetime
+	bal.chunkUntil = asked + chunkLifetime
 	bal.slots = loan.Slots
-	bal.slotsUntil = now + slotLifetime
+	bal.slotsUntil = asked + slotLifetime
 	bal.retryAt = now + loan.RetryAfter
 	bal.refusedUntil = now + min(loan.RetryAfter, maxRefusalTime)
 }
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
@@ -21,6 +23,10 @@
 	tickInterval = 1 * clock.Second
 	// borrowTimeout bounds one call to a home daemon.
 	borrowTimeout = 300 * clock.Millisecond
+	// patientBorrowTimeout bounds a call whose request would have to be refused without
+	// an answer. It is no longer than the shortest time after which a refused caller
+	// comes back.
+	patientBorrowTimeout = 1 * clock.Second
 	// maxHomesAsked is the number of daemons that are asked in turn where the views of
 	// the fleet differ for a moment.
 	maxHomesAsked = 2
@@ -75,21 +81,29 @@
 	openings map[string]chan struct{}
 	// successors holds the daemons to which organisations were released lately.
 	successors map[string]successor
-	// unreachableUntil is the time until which a home is not called, by name.
-	unreachableUntil map[string]clock.Millis
+	// silences holds the homes that left the last call unanswered, by name.
+	silences map[string]silence
 	// lastAskedAt is when another daemon last asked this one for loans. isolated
 	// means that none did and that a check reached too few daemons.
 	lastAskedAt clock.Millis
 	isolated    bool
 }
 
+// silence is the time in which a home has answered no call.
+type silence struct {
+	// since is when the first of these calls was made.
+	since clock.Millis
+	// pausedUntil is the time until which the home is not called.
+	pausedUntil clock.Millis
+}
+
 func (l *Limiter) prepare() {
 	l.once.Do(func() {
 		l.metrics = newMetrics(l.Registerer)
 		l.pendingLoans = map[string]chan struct{}{}
 		l.openings = map[string]chan struct{}{}
 		l.successors = map[string]successor{}
-		l.unreachableUntil = map[string]clock.Millis{}
+		l.silences = map[string]silence{}
 		l.homes = homes{aloneSince: l.Clock.Now(), incarnation: l.View.Self().Incarnation, regionsSeen: map[string]bool{}, departed: map[string]departedMember{}}
 	})
 }
@@ -200,7 +214,7 @@
 	loan := l.borrowOne(ctx, now, terms, want)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.borrower.AddLoan(now, req.Organisation, loan)
+	l.borrower.AddLoan(now, l.Clock.Now(), req.Organisation, loan)
 	close(l.pendingLoans[req.Organisation])
 	delete(l.pendingLoans, req.Organisation)
 }
@@ -213,8 +227,9 @@
 		return Loan{}
 	}
 	home := l.home(want.Organisation)
+	patient := !l.mayOverdrawOwnPart(want)
 	for range maxHomesAsked {
-		loans, err := l.borrowFrom(ctx, now, home, []Want{want})
+		loans, err := l.borrowFrom(ctx, home, []Want{want}, patient)
 		if err != nil {
 			break
 		}
@@ -261,26 +276,38 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	part := terms.Part(index, count).ReducedForPartition()
-	// Each daemon may overdraw its part once, so that only the first ones may do so.
-	want.NoOverdraft = l.MaxOwnPartOverdraft > 0 && (index+1)*want.LeastTokens > l.MaxOwnPartOverdraft
+	want.NoOverdraft = !l.mayOverdrawOwnPart(want)
 	l.ownPartLender.Open(now, part, want.Organisation, l.homes.earliestTenure(), Extra{})
 	return l.ownPartLender.Lend(now, l.View.Self().Name, part, want)
 }
 
-// borrowFrom asks a home, which may be this daemon, for loans.
-func (l *Limiter) borrowFrom(ctx context.Context, now clock.Millis, home gossiper.Member, wants []Want) (loans []Loan, err error) {
+// mayOverdrawOwnPart reports whether this daemon may lend the least that is wanted beyond
+// its own part. Each daemon may do so once, so that only the first ones may do so at all.
+func (l *Limiter) mayOverdrawOwnPart(want Want) bool {
+	index, _ := l.homes.position(l.View)
+	return l.MaxOwnPartOverdraft <= 0 || (index+1)*want.LeastTokens <= l.MaxOwnPartOverdraft
+}
+
+// borrowFrom asks a home, which may be this daemon, for loans. If patient, it waits longer
+// for a home that may only be slow.
+func (l *Limiter) borrowFrom(ctx context.Context, home gossiper.Member, wants []Want, patient bool) (loans []Loan, err error) {
 	self := l.View.Self().Name
 	if home.Name == self {
 		return l.Lend(ctx, self, wants)
 	}
+	now := l.Clock.Now()
 	l.mu.Lock()
-	until := l.unreachableUntil[home.Name]
+	quiet, silent := l.silences[home.Name]
 	l.mu.Unlock()
-	if now < until {
+	timeout := borrowTimeout
+	switch {
+	case patient && (!silent || now-quiet.since < patientBorrowTimeout):
+		timeout = patientBorrowTimeout
+	case now < quiet.pausedUntil:
 		return nil, errUnreachable
 	}
 	// The call outlives the request, because other requests wait for the loan too.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), borrowTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout.Duration())
 	defer cancel()
 	loans, err = l.Borrow(ctx, home, wants)
 	l.mu.Lock()
@@ -289,10 +316,18 @@
 		err = errUnreachable
 	}
 	if err != nil {
-		l.unreachableUntil[home.Name] = l.Clock.Now() + unreachablePause
+		if quiet, silent = l.silences[home.Name]; !silent {
+			quiet.since = now
+			klog.InfoS("home of limits does not answer", "home", home.Name, "err", err, "waited_ms", l.Clock.Now()-now)
+		}
+		quiet.pausedUntil = l.Clock.Now() + unreachablePause
+		l.silences[home.Name] = quiet
 		return nil, err
 	}
-	delete(l.unreachableUntil, home.Name)
+	if quiet, silent = l.silences[home.Name]; silent {
+		klog.InfoS("home of limits answers again", "home", home.Name, "silent_ms", l.Clock.Now()-quiet.since)
+		delete(l.silences, home.Name)
+	}
 	return loans, nil
 }
 
@@ -380,11 +415,7 @@
 	l.homeLender.ForgetIdle(now)
 	l.ownPartLender.ForgetIdle(now)
 	due := l.borrower.DueWants(now)
-	for name, until := range l.unreachableUntil {
-		if now >= until {
-			delete(l.unreachableUntil, name)
-		}
-	}
+	maps.DeleteFunc(l.silences, func(_ string, s silence) bool { return now-s.pausedUntil > slotLifetime })
 	l.metrics.organisations.Set(float64(l.borrower.Len() + l.homeLender.Len()))
 	checkIsolation := l.homeLender.Len() > 0 && now-l.lastAskedAt > unaskedTimeout
 	l.mu.Unlock()
@@ -407,7 +438,7 @@
 }
 
 func (l *Limiter) renew(ctx context.Context, now clock.Millis, home gossiper.Member, wants []Want) {
-	loans, err := l.borrowFrom(ctx, now, home, wants)
+	loans, err := l.borrowFrom(ctx, home, wants, false)
 	for i, want := range wants {
 		var loan Loan
 		if err == nil && loans[i].Home == "" {
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -230,7 +230,7 @@
 		name := fmt.Sprint("organisation-", i)
 		borrower.Admit(now, name, terms, 10, true)
 		lender.Open(now, terms, name, 0, limiter.Extra{})
-		borrower.AddLoan(now, name, lender.Lend(now, "d1", terms, borrower.WantForRequest(now, name, 10)))
+		borrower.AddLoan(now, now, name, lender.Lend(now, "d1", terms, borrower.WantForRequest(now, name, 10)))
 		if v, _ := borrower.Admit(now, name, terms, 10, true); v != limiter.Admitted {
 			t.Fatalf("verdict %v", v)
 		}
@@ -269,7 +269,7 @@
 		for i := range organisations {
 			name := fmt.Sprint("organisation-", i)
 			lender.Open(0, terms, name, 0, limiter.Extra{})
-			borrower.AddLoan(0, name, lender.Lend(0, "d1", terms, borrower.WantForRequest(0, name, 10)))
+			borrower.AddLoan(0, 0, name, lender.Lend(0, "d1", terms, borrower.WantForRequest(0, name, 10)))
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/daemon/limiter/refund_test.go
+++ b/daemon/limiter/refund_test.go
@@ -24,7 +24,7 @@
 	for range 50 {
 		verdict, _ := b.Admit(now, "o", terms, 100, true)
 		if verdict == limiter.NeedsLoan {
-			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
+			b.AddLoan(now, now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
 			verdict, _ = b.Admit(now, "o", terms, 100, true)
 		}
 		if verdict != limiter.Admitted {
@@ -38,7 +38,7 @@
 	for range 50 {
 		verdict, _ := b.Admit(now, "o", terms, 100, true)
 		if verdict == limiter.NeedsLoan {
-			b.AddLoan(now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
+			b.AddLoan(now, now, "o", l.Lend(now, "d", terms, b.WantForRequest(now, "o", 100)))
 			verdict, _ = b.Admit(now, "o", terms, 100, true)
 		}
 		if verdict == limiter.Admitted {
