--- a/daemon/limiter/server.go
+++ b/daemon/limiter/server.go
@@ -24,6 +24,9 @@
 			LeastTokens: int(w.GetLeastTokens()),
 		})
 	}
+	// A daemon that has just started knows the fleet soon; Lend returns an error if the
+	// caller doesn't wait so long.
+	s.Limiter.awaitSettled(ctx)
 	reply = &wire.BorrowReply{}
 	loans, err := s.Limiter.Lend(ctx, req.GetDaemon(), wants)
 	if err != nil {
--- a/daemon/limiter/slow_home_test.go
+++ b/daemon/limiter/slow_home_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/wire"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/limiter"
 	"yuccaspread/daemon/sharder"
@@ -62,3 +64,20 @@
 		t.Errorf("the home was called %d times, want once until its pause ends", calls)
 	}
 }
+
+// TestHomeThatHasJustStartedIsWaitedFor guards against an error to a daemon that asks a home
+// which doesn't know the fleet for a moment longer: the daemon then does without the home for
+// much longer than that.
+func TestHomeThatHasJustStartedIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	f := newFleet(2, inventory.Organisation{TokensPerSecond: 100_000})
+	home := f.limiters[sharder.HighestRanked([]string{"d0", "d1"}, "o")]
+	var settled atomic.Bool
+	home.Settled = settled.Load
+	time.AfterFunc(100*time.Millisecond, func() { settled.Store(true) })
+	server := &limiter.Server{Limiter: home}
+	reply, err := server.Borrow(t.Context(), &wire.BorrowRequest{Daemon: "d", Wants: []*wire.Want{{Organisation: "o", Tokens: 10}}})
+	if err != nil || reply.GetLoans()[0].GetTokens() != 10 {
+		t.Errorf("got %v, %v; want a loan of 10 tokens", reply, err)
+	}
+}
