--- a/daemon/limiter/churn_test.go
+++ b/daemon/limiter/churn_test.go
@@ -30,6 +30,8 @@
 	events  []churnEvent
 	// admitted holds the tokens of each admitted request in order.
 	admitted []admission
+	// losesNoCall means that each call between running processes is answered.
+	losesNoCall bool
 }
 
 type churnEvent struct {
@@ -149,6 +151,9 @@
 // lost draws whether a call loses its request or its reply. Calls may run in parallel;
 // what is drawn depends on the daemons and the time only.
 func (f *churningFleet) lost(from, to *churningDaemon) (request, reply bool) {
+	if f.losesNoCall {
+		return false, false
+	}
 	drawn := mix(from.index, to.index, int64(f.clock.Now())) % 100
 	return drawn < lostPercent, drawn >= 100-lostPercent
 }
@@ -164,7 +169,10 @@
 func (f *churningFleet) kill(d *churningDaemon) { d.state, d.diedAt = gossiper.Dead, f.clock.Now() }
 
 // leave begins a planned stop of the process.
-func (f *churningFleet) leave(d *churningDaemon) { d.state, d.diedAt = gossiper.Leaving, f.clock.Now() }
+func (f *churningFleet) leave(d *churningDaemon) {
+	d.state, d.diedAt = gossiper.Leaving, f.clock.Now()
+	d.incarnation++
+}
 
 func (f *churningFleet) freeze(d *churningDaemon) {
 	d.frozen, d.diedAt = true, f.clock.Now()
--- a/daemon/limiter/homes.go
+++ b/daemon/limiter/homes.go
@@ -91,14 +91,23 @@
 func (h *homes) isResumed(self gossiper.Member) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return self.Incarnation != h.incarnation
+	return servingIncarnation(self) != h.incarnation
+}
+
+// servingIncarnation returns the incarnation of a daemon before its planned stop, which
+// raises it once.
+func servingIncarnation(self gossiper.Member) int64 {
+	if self.State == gossiper.Leaving {
+		return self.Incarnation - 1
+	}
+	return self.Incarnation
 }
 
 // resume records that another home may have taken over until now.
 func (h *homes) resume(now clock.Millis, self gossiper.Member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.incarnation, h.aloneSince, h.hasResumed = self.Incarnation, now, true
+	h.incarnation, h.aloneSince, h.hasResumed = servingIncarnation(self), now, true
 }
 
 // resumed reports whether another home may have taken over since the start.
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -29,7 +29,7 @@
 	patientBorrowTimeout = 1 * clock.Second
 	// maxHomesAsked is the number of daemons that are asked in turn where the views of
 	// the fleet differ for a moment.
-	maxHomesAsked = 2
+	maxHomesAsked = 3
 	// settlePollInterval is the time between two looks whether the view is settled.
 	settlePollInterval = 20 * clock.Millisecond
 	// unreachablePause is how long a home that did not answer is not called again.
@@ -364,7 +364,8 @@
 	organisation, _ := inventory.Lookup(l.Source.Current().Organisations, want.Organisation)
 	terms := TermsOf(organisation).Scaled(share)
 	home := l.homeOf(want.Organisation, members)
-	if home == self || home == "" {
+	// A home that leaves opens no account: it would take the limits back from the next one.
+	if home == self && l.View.Self().State != gossiper.Leaving || home == "" {
 		home = l.openAccount(ctx, want.Organisation, terms, members)
 	}
 	if home != "" && home != self {
--- a/daemon/limiter/takeover.go
+++ b/daemon/limiter/takeover.go
@@ -34,17 +34,32 @@
 const newsTime = 4 * clock.Second
 
 // homeOf returns the name of the organisation's home as this daemon knows it, or the
-// empty string.
+// empty string. A home that leaves stays it until another asks to release the limits:
+// before, that one may not know yet that it is the home.
 func (l *Limiter) homeOf(organisation string, members []gossiper.Member) string {
+	self := l.View.Self()
 	l.mu.Lock()
 	next, found := l.successors[organisation]
+	holds := l.homeLender.Holds(organisation)
 	l.mu.Unlock()
+	if holds && isOutgoingHome(self, organisation, members) {
+		return self.Name
+	}
 	if found && l.Clock.Now() < next.until {
 		return next.name
 	}
 	return homeName(members, organisation)
 }
 
+// isOutgoingHome reports whether this daemon leaves and would be the home if it stayed.
+func isOutgoingHome(self gossiper.Member, organisation string, members []gossiper.Member) bool {
+	if self.State != gossiper.Leaving {
+		return false
+	}
+	next := homeName(members, organisation)
+	return next == "" || sharder.Rank(self.Name, organisation) > sharder.Rank(next, organisation)
+}
+
 // Release answers another daemon that takes itself for the home of an organisation. It
 // closes the account here unless this daemon ranks above the caller.
 func (l *Limiter) Release(caller, organisation string) (out Released) {
@@ -139,7 +154,7 @@
 		switch {
 		case resumed:
 			l.homeLender.Close(organisation)
-		case homeName(members, organisation) != self.Name:
+		case homeName(members, organisation) != self.Name && !isOutgoingHome(self, organisation, members):
 			l.homeLender.Drain(now, organisation)
 		}
 	}
