--- a/common/allocator/allocator.go
+++ b/common/allocator/allocator.go
@@ -21,31 +21,32 @@
 	defaultEphemeralPort = 32768
 	// minPorts is the number of ports from which one is chosen at least.
 	minPorts = 1000
-	// claimAddress is where a process holds the ports that it has assigned, so that
-	// other processes that assign ports pass over them.
+	// claimAddress is where assigned ports are held, so that other processes pass over
+	// them.
 	claimAddress = "127.0.0.2"
 	// maxTries bounds the ports that are tried for one that is free.
 	maxTries = 1000
 )
 
-// claims holds the claimed ports until the process ends.
-var claims struct {
-	mu    sync.Mutex
-	ports []net.Listener
+// Allocator assigns ports on which nobody listens. No other Allocator, in any process, assigns
+// one of them before Close. They are no ephemeral ports: those may be taken by an outgoing
+// connection before the program listens, or between its end and its restart. The zero value is
+// ready to use.
+type Allocator struct {
+	mu     sync.Mutex
+	claims []net.Listener
 }
 
-// Port assigns a port on which nobody listens. No other call in any process gets it until
-// this process ends. It is no ephemeral one: those may be taken by an outgoing connection
-// before the program listens, or between its end and its restart.
-func Port() (port int, err error) {
+// Port assigns a port.
+func (a *Allocator) Port() (port int, err error) {
 	end := ephemeralStart()
 	for range maxTries {
 		port = firstPort + rand.IntN(end-firstPort)
 		var claim net.Listener
 		if claim, err = claimPort(port); err == nil {
-			claims.mu.Lock()
-			defer claims.mu.Unlock()
-			claims.ports = append(claims.ports, claim)
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.claims = append(a.claims, claim)
 			return port, nil
 		}
 	}
@@ -53,9 +54,9 @@
 }
 
 // Addresses assigns the given number of ports and returns their loopback addresses.
-func Addresses(count int) (addresses []string, err error) {
+func (a *Allocator) Addresses(count int) (addresses []string, err error) {
 	for range count {
-		port, err := Port()
+		port, err := a.Port()
 		if err != nil {
 			return nil, err
 		}
@@ -64,6 +65,16 @@
 	return addresses, nil
 }
 
+// Close gives the ports back.
+func (a *Allocator) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, claim := range a.claims {
+		_ = claim.Close()
+	}
+	a.claims = nil
+}
+
 // claimPort returns an error if the port is claimed or in use. Closing the claim ends it.
 func claimPort(port int) (claim net.Listener, err error) {
 	defer func() {
--- a/common/allocator/allocator_test.go
+++ b/common/allocator/allocator_test.go
@@ -9,9 +9,11 @@
 // outgoing connection of another before it starts or while it restarts: it then ends with
 // "address already in use".
 func TestPortIsNotEphemeral(t *testing.T) {
+	var a Allocator
+	t.Cleanup(a.Close)
 	seen := map[int]bool{}
 	for range 200 {
-		port, err := Port()
+		port, err := a.Port()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -28,7 +30,9 @@
 // TestPortInUseIsNotAssigned guards against a port that another test process has assigned,
 // or on which somebody listens.
 func TestPortInUseIsNotAssigned(t *testing.T) {
-	port, err := Port()
+	var a Allocator
+	t.Cleanup(a.Close)
+	port, err := a.Port()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/edges_test.go
+++ b/daemon/edges_test.go
@@ -180,6 +180,7 @@
 		t.Fatalf("%v\n%s", err, out)
 	}
 	f := &fleet{t: t, ports: map[string]string{}}
+	t.Cleanup(f.free.Close)
 	f.assignPorts("LISTEN", "PEER")
 	freeListen := "listen = \"127.0.0.1:" + f.ports["LISTEN"] + "\"\n"
 	usedAddress := socket.Addr().String()
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -36,6 +36,7 @@
 	t       testing.TB
 	folder  string
 	ports   map[string]string
+	free    allocator.Allocator
 	daemons []*exec.Cmd
 	regions []string
 	// extraSettings is appended to the settings of each daemon.
@@ -60,6 +61,7 @@
 		test.Parallel()
 	}
 	f.folder, f.ports = t.TempDir(), map[string]string{}
+	t.Cleanup(f.free.Close)
 	t.Cleanup(f.reportLogs)
 	for program, folder := range map[string]string{"yuccaspread": ".", "yuccastandin": "../standin"} {
 		build := exec.Command("go", "build", "-o", filepath.Join(f.folder, program), folder)
@@ -104,7 +106,7 @@
 func (f *fleet) assignPorts(names ...string) {
 	f.t.Helper()
 	for _, name := range names {
-		port, err := allocator.Port()
+		port, err := f.free.Port()
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -143,7 +143,9 @@
 			t.Fatalf("build %s: %v\n%s", program, err, out)
 		}
 	}
-	ports, err := allocator.Addresses(1 + 2*enginesPerPool + 2*2)
+	var free allocator.Allocator
+	t.Cleanup(free.Close)
+	ports, err := free.Addresses(1 + 2*enginesPerPool + 2*2)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/prover/cluster_test.go
+++ b/daemon/prover/cluster_test.go
@@ -188,7 +188,9 @@
 	clusterSlots <- struct{}{}
 	t.Cleanup(func() { <-clusterSlots })
 	c := &cluster{t: t, dir: t.TempDir()}
-	ports, err := allocator.Addresses(2 + options.engines + 2*daemonCount)
+	var free allocator.Allocator
+	t.Cleanup(free.Close)
+	ports, err := free.Addresses(2 + options.engines + 2*daemonCount)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/sender/sender_test.go
+++ b/daemon/sender/sender_test.go
@@ -96,7 +96,9 @@
 // TestRefusedConnectionIsNotSent guards against a refused connection that counts as
 // sent: its request could then not be retried.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	addresses, err := allocator.Addresses(1)
+	var free allocator.Allocator
+	t.Cleanup(free.Close)
+	addresses, err := free.Addresses(1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/calls.go
+++ b/standin/calls.go
@@ -14,8 +14,10 @@
 
 // printPorts prints distinct TCP ports that are free at the moment.
 func printPorts(out io.Writer, count int) (err error) {
+	var ports allocator.Allocator
+	defer ports.Close()
 	for range count {
-		port, err := allocator.Port()
+		port, err := ports.Port()
 		if err != nil {
 			return err
 		}
