Read home regions, evacuations and cold limits of a configuration

Cause: a route's and an organisation's home regions, rows that evacuate a failure domain, and the cold time of upstreams were dropped when the configuration and the list of upstreams were read.

`follower` puts evacuations in force from the same table as the configuration.

Conclusion: nothing decides by them yet; that follows.

--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"regexp"
+	"slices"
 
 	"yuccaspread/common/clock"
 )
@@ -177,6 +179,9 @@
 			k.require(!seen[nearest], RegionKind, r.Name, "nearest", "%q is there twice or the region itself", nearest)
 			seen[nearest] = true
 		}
+		for _, domain := range r.Evacuated {
+			k.require(slices.Contains(r.FailureDomains, domain), RegionKind, r.Name, "evacuated", "the region has no failure domain %q", domain)
+		}
 	}
 }
 
@@ -191,7 +196,18 @@
 		default:
 			k.addMistake(PoolEntryKind, p.Name, "kind", "%q is neither %q nor %q", p.Kind, PoolModel, PoolService)
 		}
+		k.checkCold(p)
+	}
+}
+
+func (k *checker) checkCold(p Pool) {
+	rates := map[string]float64{"per_second": p.Cold.PerSecond, "max_per_second": p.Cold.MaxPerSecond, "max_burst": p.Cold.MaxBurst}
+	for _, field := range slices.Sorted(maps.Keys(rates)) {
+		rate := rates[field]
+		k.require(isFiniteNonNegative(rate) && rate <= MaxColdRate, PoolEntryKind, p.Name, "cold."+field, "must be from 0 to %v", float64(MaxColdRate))
 	}
+	k.require(inRange(p.Cold.WarmUpMS, 0, MaxColdTime), PoolEntryKind, p.Name, "cold.warm_up_ms", "must be from 0 to %d", MaxColdTime)
+	k.require(p.Cold.MaxPerSecond == 0 || p.Cold.MaxPerSecond >= p.Cold.PerSecond, PoolEntryKind, p.Name, "cold.max_per_second", "is below cold.per_second")
 }
 
 func (k *checker) checkLimits() {
--- a/common/inventory/entries_checker.go
+++ b/common/inventory/entries_checker.go
@@ -58,6 +58,18 @@
 		requireField(o.Burst >= 0, "burst")
 		requireField(o.Concurrency >= 0, "concurrency")
 		requireField(isFiniteNonNegative(o.TokensPerSecond), "tokens_per_second")
+		k.checkHomes(OrganisationKind, o.Name, o.HomeRegions)
+	}
+	for _, pair := range k.config.DisjointHomes() {
+		k.addMistake(OrganisationKind, pair.Organisation, "home_regions", "has no region in common with those of route %q", pair.Route)
+	}
+}
+
+// checkHomes adds a mistake for each home that is no region.
+func (k *checker) checkHomes(kind Kind, name string, homes []string) {
+	regions := nameSet(k.config.Regions)
+	for _, region := range homes {
+		k.require(regions[region], kind, name, "home_regions", "there is no region %q", region)
 	}
 }
 
@@ -123,6 +135,7 @@
 		requireField(pools[r.Pool], "pool", "there is no pool %q", r.Pool)
 		requireField(tiers[r.Tier], "tier", "there is no tier %q", r.Tier)
 		requireField(!r.MintKey || !r.Idempotent, "mint_key", "has no use on an idempotent route")
+		k.checkHomes(RouteKind, r.Name, r.HomeRegions)
 		match := [4]string{r.Path, orDefault(r.Method, "POST"), r.Model, r.Class}
 		other, taken := routeByMatch[match]
 		requireField(!taken, "", "matches the same requests as route %q", other)
--- a/common/inventory/inventory.go
+++ b/common/inventory/inventory.go
@@ -32,6 +32,8 @@
 	FailureDomains []string `json:"failure_domains,omitempty" toml:"failure_domains"`
 	// Nearest lists other regions, the nearest first.
 	Nearest []string `json:"nearest,omitempty" toml:"nearest"`
+	// Evacuated are the failure domains of the region whose upstreams get no new requests.
+	Evacuated []string `json:"evacuated,omitempty" toml:"evacuated,omitempty"`
 }
 
 // PoolKind selects the adapter through which a pool's upstreams are called.
@@ -51,6 +53,8 @@
 	Model string `json:"model,omitempty" toml:"model,omitempty"`
 	// Version is the version that the pool serves outside of moves.
 	Version string `json:"version,omitempty" toml:"version,omitempty"`
+	// Cold is what its upstreams take just after they have started.
+	Cold ColdLimit `json:"cold,omitzero" toml:"cold,omitempty"`
 }
 
 // Upstream is one backend process.
@@ -80,6 +84,9 @@
 	// so that another process that took over the address refuses them; empty
 	// accepts any instance.
 	Instance string `json:"instance,omitempty" toml:"instance,omitempty"`
+	// ColdLeftMS is how long the upstream stays cold by its own word, as of when it said so, in
+	// milliseconds. It is 0 in pools without a ColdLimit.
+	ColdLeftMS clock.Millis `json:"cold_left_ms,omitempty" toml:"-"`
 }
 
 // Organisation is a customer whose callers send requests.
@@ -113,6 +120,8 @@
 	TierOffset int `json:"tier_offset,omitempty" toml:"tier_offset,omitempty"`
 	// MoreTokenSHA256 are the hashes of further bearer tokens.
 	MoreTokenSHA256 []string `json:"more_token_sha256,omitempty" toml:"more_token_sha256,omitempty"`
+	// HomeRegions are the regions in which the organisation's requests may run; empty means all.
+	HomeRegions []string `json:"home_regions,omitempty" toml:"home_regions,omitempty"`
 }
 
 // Role determines what an operator may do.
@@ -199,6 +208,8 @@
 	// PatienceMS is how long callers wait for the first event of a stream before
 	// they disconnect, in milliseconds; 0 means until the deadline.
 	PatienceMS clock.Millis `json:"patience_ms,omitempty" toml:"patience_ms,omitempty"`
+	// HomeRegions are the regions in which requests of the route may run; empty means all.
+	HomeRegions []string `json:"home_regions,omitempty" toml:"home_regions,omitempty"`
 }
 
 // PoolShare is one pool's share of the requests of a route.
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -16,6 +16,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/logger"
 )
 
 // ErrHistoryDropped means that the register no longer has the requested changes;
@@ -44,6 +45,9 @@
 	// ReleaseOrder decodes a row beside the configuration; isOrder is unset if it is not
 	// meant to be an order.
 	ReleaseOrder(key string, value []byte) (order inventory.ReleaseOrder, isOrder bool, err error)
+	// Evacuation decodes the key of a row beside the configuration; isEvacuation is unset if the
+	// row is not meant to evacuate a failure domain.
+	Evacuation(key string) (domain string, isEvacuation bool, err error)
 }
 
 // Tables names the tables that are followed.
@@ -118,6 +122,8 @@
 	// unusableRevision is a revision of a peer that could not be decoded here, 0 for none.
 	unusableRevision int64
 	lapses           lapseTracker
+	// evacuations holds the evacuated failure domains, by row key.
+	evacuations map[string]evacuation
 	// decodedUpstreams caches the decoded rows of upstreams, by key.
 	decodedUpstreams map[string]decodedUpstream
 	// unavailable records, by table, whether the last call to the register failed.
@@ -399,6 +405,7 @@
 	}
 	if ordersChanged {
 		f.applyOrders(origin)
+		f.applyEvacuations(origin)
 	}
 	f.publish()
 }
@@ -434,7 +441,8 @@
 func (f *Follower) expireLapses() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lapses.expire(f.Clock.Now()) {
+	evacuationsExpired := f.expireEvacuations()
+	if f.lapses.expire(f.Clock.Now()) || evacuationsExpired {
 		f.publish()
 	}
 }
@@ -451,10 +459,22 @@
 		return
 	}
 	f.config, f.configRow = config, row
+	logDisjointHomes(config)
 	klog.InfoS("configuration in force", "revision", config.Revision, "row_version", row.Version, "from", origin,
 		"routes", len(config.Routes), "organisations", len(config.Organisations))
 }
 
+// maxLoggedPairs bounds the log lines on homes without a common region.
+const maxLoggedPairs = 8
+
+func logDisjointHomes(config *inventory.Config) {
+	pairs := config.DisjointHomes()
+	for _, pair := range pairs[:min(len(pairs), maxLoggedPairs)] {
+		klog.ErrorS(nil, "homes of a route and of an organisation have no region in common; their requests are refused",
+			"revision", config.Revision, "route", pair.Route, logger.KeyOrganisation, pair.Organisation, "pairs", len(pairs))
+	}
+}
+
 // publish puts the newest configuration with the present upstreams in force. It is
 // called with mu held.
 func (f *Follower) publish() {
@@ -470,6 +490,7 @@
 	}
 	next := *f.config
 	next.Upstreams = upstreams
+	next.Regions = f.regionsWithEvacuations(previous.Regions)
 	f.current.Store(&next)
 	f.metrics.revision.Set(float64(next.Revision))
 }
@@ -488,8 +509,8 @@
 			decoded = f.decodeUpstream(row)
 		}
 		present[row.Key] = decoded
-		if _, found := inventory.Lookup(f.config.Pools, decoded.upstream.Pool); decoded.valid && found {
-			list = append(list, decoded.upstream)
+		if pool, found := inventory.Lookup(f.config.Pools, decoded.upstream.Pool); decoded.valid && found {
+			list = append(list, forPool(decoded.upstream, pool))
 		}
 	}
 	f.decodedUpstreams = present
@@ -508,7 +529,19 @@
 		return false
 	}
 	u, err := f.Decoder.Upstream(row.Key, row.Value)
-	return err == nil && u == decoded.upstream
+	if err != nil || f.config == nil {
+		return err == nil && u == decoded.upstream
+	}
+	pool, _ := inventory.Lookup(f.config.Pools, u.Pool)
+	return forPool(u, pool) == forPool(decoded.upstream, pool)
+}
+
+// forPool returns an upstream without what its pool makes no use of.
+func forPool(u inventory.Upstream, pool inventory.Pool) inventory.Upstream {
+	if !pool.Cold.Limits() {
+		u.ColdLeftMS = 0
+	}
+	return u
 }
 
 // isOutdated implements Replica.Outdated. A copy of the register may hold upstreams that have
@@ -544,7 +577,7 @@
 	}
 	for _, u := range after {
 		if previous, found := oldUpstreams[u.Name]; !found || previous != u {
-			klog.InfoS("upstream added or changed", "upstream", u.Name, "pool", u.Pool, "address", u.Address, "leaving", u.Leaving, "version", u.Version)
+			klog.InfoS("upstream added or changed", "upstream", u.Name, "pool", u.Pool, "address", u.Address, "leaving", u.Leaving, "version", u.Version, "cold_left_ms", u.ColdLeftMS)
 		}
 		delete(oldUpstreams, u.Name)
 	}
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -92,6 +93,11 @@
 
 type decoder struct{}
 
+func (decoder) Evacuation(key string) (domain string, isEvacuation bool, err error) {
+	domain, isEvacuation = strings.CutPrefix(key, "evacuate/")
+	return domain, isEvacuation, nil
+}
+
 func (decoder) ReleaseOrder(string, []byte) (order inventory.ReleaseOrder, isOrder bool, err error) {
 	return order, false, nil
 }
--- a/daemon/follower/metrics.go
+++ b/daemon/follower/metrics.go
@@ -9,6 +9,8 @@
 type metrics struct {
 	revision prometheus.Gauge
 	failures prometheus.Counter
+	// evacuated is the number of evacuated failure domains.
+	evacuated prometheus.Gauge
 }
 
 // init creates the metrics. confirmedAge returns the age of the last confirmation of a
@@ -20,10 +22,13 @@
 	m.failures = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "yuccaspread_register_failures_total", Help: "Calls to the followed register that failed.",
 	})
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "yuccaspread_evacuated_failure_domains", Help: "Failure domains to whose upstreams nothing new is sent.",
+	})
 	if registerer == nil {
 		return
 	}
-	registerer.MustRegister(m.revision, m.failures)
+	registerer.MustRegister(m.revision, m.failures, m.evacuated)
 	for _, table := range tables {
 		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "yuccaspread_register_confirmed_age_seconds", ConstLabels: prometheus.Labels{"table": table},
--- a/daemon/follower/replica.go
+++ b/daemon/follower/replica.go
@@ -260,6 +260,10 @@
 	return r.Equivalent != nil && !known.Removed && !row.Removed && r.Equivalent(known, row)
 }
 
+// VersionOf returns the version of the newest known row with a key, also if it was removed, 0 for
+// none.
+func (r *Replica) VersionOf(table, key string) Version { return r.rows[rowID{table, key}].Version }
+
 // Rows returns the present rows of a table, sorted by key.
 func (r *Replica) Rows(table string) (rows []Row) {
 	for id, row := range r.rows {
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -129,6 +130,11 @@
 // testDecoder decodes configurations and upstreams from JSON.
 type testDecoder struct{}
 
+func (testDecoder) Evacuation(key string) (domain string, isEvacuation bool, err error) {
+	domain, isEvacuation = strings.CutPrefix(key, "evacuate/")
+	return domain, isEvacuation, nil
+}
+
 func (testDecoder) ReleaseOrder(string, []byte) (order inventory.ReleaseOrder, isOrder bool, err error) {
 	return order, false, nil
 }
