Keep requests from evacuated upstreams, and cold ones within their rate

Change: the scheduler takes upstreams of evacuated failure domains out of service. What was measured on a cold upstream is not learned.

--- a/daemon/granter/feeder.go
+++ b/daemon/granter/feeder.go
@@ -59,7 +59,8 @@
 	old := c.config
 	c.config = config
 	if c.rules != nil && sharder.SameBackingArray(old.Organisations, config.Organisations) &&
-		sharder.SameBackingArray(old.Tiers, config.Tiers) && old.Limits == config.Limits {
+		sharder.SameBackingArray(old.Tiers, config.Tiers) && sharder.SameBackingArray(old.Pools, config.Pools) &&
+		sharder.SameBackingArray(old.Regions, config.Regions) && old.Limits == config.Limits {
 		return
 	}
 	weights := map[string]int{}
@@ -68,5 +69,13 @@
 			weights[o.Name] = o.Weight
 		}
 	}
-	c.rules = &scheduler.Rules{Tiers: config.Tiers, Weights: weights, Limits: config.Limits.WithDefaults()}
+	cold := map[string]inventory.ColdLimit{}
+	for _, p := range config.Pools {
+		if p.Cold.Limits() {
+			cold[p.Name] = p.Cold
+		}
+	}
+	c.rules = &scheduler.Rules{
+		Tiers: config.Tiers, Weights: weights, Limits: config.Limits.WithDefaults(), Cold: cold, Evacuated: config.EvacuatedDomains(),
+	}
 }
--- /dev/null
+++ b/daemon/scheduler/cold.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"slices"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/noticer"
+)
+
+// coldState holds an upstream to the rate that its pool's ColdLimit allows. The zero value is
+// that of an upstream that is not cold.
+type coldState struct {
+	// until is when the upstream has warmed up, by its own word or as presumed.
+	until clock.Millis
+	// allowance is what it may get while it is cold, and ceiling what it may get at any time.
+	allowance, ceiling noticer.Allowance
+}
+
+// minColdBurst is the least number of requests that a cold upstream may get at once.
+const minColdBurst = 1.0
+
+// hearCold takes what the entry of an upstream tells of its cold time, if that has changed. A
+// presumed time lasts on.
+func (s *State) hearCold(u *upstream, entry inventory.Upstream) {
+	if entry.ColdLeftMS == u.ColdLeftMS {
+		return
+	}
+	if entry.ColdLeftMS > 0 {
+		u.cold.until = max(s.now+entry.ColdLeftMS, u.cold.until)
+	}
+}
+
+// presumeCold treats an upstream that may have been restarted as cold for the warm-up time.
+func (s *State) presumeCold(u *upstream) {
+	u.cold.until = max(u.cold.until, s.now+s.coldLimits[u.Pool].WarmUpMS)
+}
+
+// markEvacuated marks the upstreams of the evacuated failure domains. Those of a domain that no
+// longer is may have become cold meanwhile.
+func (s *State) markEvacuated() {
+	for _, u := range s.upstreams {
+		evacuated := slices.Contains(s.evacuated, u.FailureDomain)
+		if u.evacuated && !evacuated {
+			s.presumeCold(u)
+		}
+		u.evacuated = evacuated
+	}
+}
+
+// isCold reports whether an upstream is cold, as far as is known here.
+func (s *State) isCold(u *upstream) bool {
+	return s.now < u.cold.until && s.coldLimits[u.Pool].Limits()
+}
+
+// fillCold brings the allowances of an upstream up to date. A cold upstream begins with the
+// least burst, because what it got before it was known to be cold counts too.
+func (s *State) fillCold(u *upstream, limit inventory.ColdLimit) {
+	rate := limit.PerSecond
+	if s.divided || s.now-u.addedAt < takeoverTime {
+		rate *= unsureShare
+	}
+	u.cold.allowance.Fill(s.now, rate, max(minColdBurst, rate*limitBurstTime.Duration().Seconds()))
+	u.cold.ceiling.Fill(s.now, limit.MaxPerSecond, max(limit.MaxBurst, minColdBurst))
+}
+
+// withinCold reports whether an upstream may get one more request, cold or not.
+func (s *State) withinCold(u *upstream) bool {
+	limit := s.coldLimits[u.Pool]
+	if !limit.Limits() {
+		return true
+	}
+	s.fillCold(u, limit)
+	if s.now < u.cold.until && !u.cold.allowance.Has() {
+		return false
+	}
+	return limit.MaxPerSecond == 0 || u.cold.ceiling.Has()
+}
+
+// takeCold counts a request that an upstream gets. What a warm one gets counts for the time in
+// which it is cold and not yet known to be.
+func (s *State) takeCold(u *upstream) {
+	if !s.coldLimits[u.Pool].Limits() {
+		return
+	}
+	u.cold.ceiling.Take()
+	if u.cold.allowance.Has() {
+		u.cold.allowance.Take()
+	}
+}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -86,11 +86,15 @@
 	List []inventory.Upstream `json:"list"`
 }
 
-// Rules replaces the tiers, organisation weights and limits in force.
+// Rules replaces the rules in force.
 type Rules struct {
 	Tiers   []inventory.Tier `json:"tiers"`
 	Weights map[string]int   `json:"weights"`
 	Limits  inventory.Limits `json:"limits"`
+	// Cold holds, by pool, what its upstreams take while they are cold.
+	Cold map[string]inventory.ColdLimit `json:"cold,omitempty"`
+	// Evacuated names the failure domains whose upstreams get nothing new.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // Load is a load report of an upstream, taken at Time, which may be old.
--- a/daemon/scheduler/notices.go
+++ b/daemon/scheduler/notices.go
@@ -94,8 +94,12 @@
 	}
 }
 
-// withinLimit reports whether an upstream accepts one more request by its own word.
+// withinLimit reports whether an upstream accepts one more request by its own word, and by what
+// it takes while it is cold.
 func (s *State) withinLimit(u *upstream) bool {
+	if !s.withinCold(u) {
+		return false
+	}
 	if !u.limit.named {
 		return true
 	}
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -199,6 +199,7 @@
 	if u.limit.named {
 		u.limit.allowance.Take()
 	}
+	s.takeCold(u)
 	s.recordService(a)
 	s.shares.recordGrant(a)
 	s.pace.recordGrant(s.now, a.entry.Tier)
@@ -212,6 +213,7 @@
 	a.upstream = u
 	a.version = u.version
 	a.grantedAt = s.now
+	a.onCold = s.isCold(u)
 	u.lastGrantAt = s.now
 	if u.pendingPrefills == 0 {
 		u.prefillStartedAt = s.now
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -86,8 +86,11 @@
 }
 
 // learnPrefill updates the prefill speeds on a first token. The time counts from
-// when the prompts ahead of this one were processed.
+// when the prompts ahead of this one were processed. Cold upstreams teach nothing.
 func (s *State) learnPrefill(a *ask, cachedTokens int) {
+	if a.onCold {
+		return
+	}
 	u := a.upstream
 	tookMS := float64(s.now - max(a.grantedAt, u.prefillStartedAt))
 	uncachedTokens := float64(max(a.PromptTokens-cachedTokens, 1))
@@ -123,6 +126,8 @@
 		}
 	case reserver.NotSent:
 		u.limit.allowance.Return()
+		u.cold.allowance.Return()
+		u.cold.ceiling.Return()
 	case reserver.Failed, reserver.Cancelled:
 	}
 	s.release(a)
@@ -140,7 +145,7 @@
 // learnGap adds a sample to the token gaps from a completed answer, at the mean
 // number of requests that ran on the upstream meanwhile.
 func (s *State) learnGap(a *ask, outputTokens int) {
-	if a.firstTokenAt == 0 || outputTokens < minGapTokens {
+	if a.firstTokenAt == 0 || outputTokens < minGapTokens || a.onCold {
 		return
 	}
 	u := a.upstream
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -52,8 +52,12 @@
 	lengthSeenAt map[string]clock.Millis
 	index        placer.Index
 
-	tiers              []inventory.Tier
-	limits             inventory.Limits
+	tiers  []inventory.Tier
+	limits inventory.Limits
+	// coldLimits holds what the upstreams of each pool take while they are cold.
+	coldLimits map[string]inventory.ColdLimit
+	// evacuated names the failure domains whose upstreams get nothing new.
+	evacuated          []string
 	firstTokenTargetMS float64
 	tokenGapTargetMS   float64
 
@@ -93,6 +97,8 @@
 	// runningIntegral is the upstream's integral of running requests over time at
 	// the first token.
 	runningIntegral float64
+	// onCold is set if the upstream was cold when the slot was granted.
+	onCold bool
 	// isProbe is set if the ask probes an ejected upstream. slowdown is the largest
 	// ratio of a measured time to the expected one, 0 while there is none.
 	isProbe  bool
@@ -161,6 +167,8 @@
 	s.queue.Weights = m.Weights
 	s.queue.Capacity = s.limits.QueuePerShard
 	s.guarantor.Floor, s.guarantor.CheapShare = s.limits.KindFloor, s.limits.CheapKindShare
+	s.coldLimits, s.evacuated = m.Cold, m.Evacuated
+	s.markEvacuated()
 	s.firstTokenTargetMS = 0
 	s.tokenGapTargetMS = 0
 	for _, t := range m.Tiers {
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -47,6 +47,9 @@
 	// got the upstream.
 	limit   namedLimit
 	addedAt clock.Millis
+	// evacuated is set while its failure domain is evacuated.
+	evacuated bool
+	cold      coldState
 
 	running int
 	// tokens is the sum of the prompt and expected output tokens of the running
@@ -80,9 +83,9 @@
 // mask returns the upstream's bit.
 func (u *upstream) mask() uint64 { return 1 << u.bit }
 
-// inService reports whether the upstream is listed and not about to leave.
+// inService reports whether the upstream is listed, not about to leave and not evacuated.
 func (u *upstream) inService() bool {
-	return u.listed && !u.Leaving && !u.draining && !u.saysLeaving
+	return u.listed && !u.Leaving && !u.draining && !u.saysLeaving && !u.evacuated
 }
 
 // unmeasured reports whether its speed rests on no valid measurement, so that no
@@ -193,10 +196,12 @@
 		if entry.Version != u.Version {
 			u.version = entry.Version
 		}
+		s.hearCold(u, entry)
 		u.Upstream = entry
 		u.Slots = max(entry.Slots, 1)
 		u.listed = true
 	}
+	s.markEvacuated()
 	s.dropUpstreams()
 }
 
@@ -211,6 +216,7 @@
 			continue
 		}
 		u := &upstream{Upstream: entry, version: entry.Version, bit: bit, integralAt: s.now, addedAt: s.now}
+		u.cold.until = s.now + entry.ColdLeftMS
 		u.speed = s.speeds.Upstream(entry.Name, entry.Generation)
 		u.generationSpeed = s.speeds.Generation(entry.Generation)
 		s.upstreams = append(s.upstreams, u)
@@ -254,6 +260,9 @@
 		// Its cache is lost when it goes down.
 		s.index.Forget(u.bit)
 	}
+	if m.Up && u.down {
+		s.presumeCold(u)
+	}
 	u.down = !m.Up
 	u.pausedUntil = 0
 }
