Keep requests in their home regions

Change: `reserver` takes shards and upstreams outside of the homes for no candidates, and `Slot.Confirm`, which each sender asks right before the first byte, checks homes and evacuations once more by the configuration in force. Callers whose region has no daemon are named those of the home regions of the host that they ask for. A route and an organisation without a common region: 503 "no home region". Settings `cold_excess` and `cold_slack` carry the users' bounds.

--- a/daemon/classifier/classifier.go
+++ b/daemon/classifier/classifier.go
@@ -64,9 +64,11 @@
 		return nil, err
 	}
 	pool, _ := inventory.Lookup(c.config.Pools, route.Pool)
+	owner, _ := inventory.Lookup(c.config.Organisations, organisation)
 	tier := c.tiersByName[route.Tier]
 	req = &Request{
-		ID: head.ID, Organisation: organisation, Route: route.Name, Pool: pool.Name, Kind: pool.Kind,
+		Homes: inventory.HomesOf(route, owner),
+		ID:    head.ID, Organisation: organisation, Route: route.Name, Pool: pool.Name, Kind: pool.Kind,
 		Tier: tier.Rank, Idempotent: route.Idempotent, Stream: content.Stream, Arrived: head.Arrived,
 		MaxTokens: max(content.MaxTokens, 0), Method: head.Method, Path: head.target(), Header: head.Header, Body: body,
 		Fingerprint: hasher.Fingerprint(organisation, route.Name, body),
--- a/daemon/classifier/hosts.go
+++ b/daemon/classifier/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -67,7 +68,18 @@
 		return a, err
 	}
 	a.Organisation, _ = inventory.Lookup(c.config.Organisations, name)
-	return a, nil
+	return a, checkHomes(a.Route, a.Organisation)
+}
+
+// checkHomes returns a *refuser.Refusal if the requests of an organisation on a route may run in
+// no region.
+func checkHomes(route inventory.Route, organisation inventory.Organisation) error {
+	if !inventory.HomesOf(route, organisation).Empty() {
+		return nil
+	}
+	return refuser.New(http.StatusServiceUnavailable, "no home region", fmt.Sprintf(
+		"the homes of route %s and of organisation %s have no region in common", route.Name, organisation.Name,
+	))
 }
 
 // Complete returns the classified request of an admission, with its body.
@@ -81,7 +93,7 @@
 		LatencyObjective: route.ObjectiveMS, EventGap: route.GapMS, Patience: route.PatienceMS, Arrived: head.Arrived, PromptTokens: head.PromptTokens,
 		MaxTokens: head.MaxTokens, ExpectedTokens: head.ExpectedTokens, LastEventID: head.LastEventID,
 		Method: head.Method, Host: head.Host, Path: head.target(), Header: head.Header, Body: body,
-		Fingerprint: fingerprint(a, head, body),
+		Fingerprint: fingerprint(a, head, body), Homes: inventory.HomesOf(route, a.Organisation),
 	}
 	for _, part := range head.PromptParts {
 		req.PromptParts = append(req.PromptParts, xxhash.Sum64String(pool.Name+"\x00"+part))
--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -69,6 +69,9 @@
 	LastWriteAt clock.Millis
 	// LastEventID is the id of the event after which the caller resumes a stream.
 	LastEventID string
+	// Homes are the regions in which the request may run, by the configuration that it arrived
+	// under.
+	Homes inventory.Homes
 
 	Method string
 	// Host is the host that the caller named; if it is empty, the upstream's address
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -94,7 +94,7 @@
 		Register: register, Tables: parser.Tables(), Clock: params.Clock, Registerer: params.Registerer,
 		Decoder: &parser.Parser{
 			RegionByZone: hosted.Regions, RetryShare: hosted.RetryShare, AddressLifetime: hosted.AddressLifetimeMS,
-			CrossRegionBytes: hosted.CrossRegionBytes,
+			CrossRegionBytes: hosted.CrossRegionBytes, ColdExcess: hosted.ColdExcess, ColdSlack: hosted.ColdSlack,
 		},
 	}
 	peers := &follower.Exchanger{Follower: f, View: params.Gossiper, Connector: params.Connector}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -229,7 +229,8 @@
 	r := res.remote
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() || r.Noticer.Avoids(r.Clock.Now(), res.upstream.Name) {
+	if res.stage != stageHeld || res.isWithdrawn || res.isExpired() || r.Noticer.Avoids(r.Clock.Now(), res.upstream.Name) ||
+		!allowsUpstream(r.Source.Current(), res.request, res.upstream) {
 		return false
 	}
 	res.confirmed = true
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -105,9 +105,12 @@
 }
 
 // rankedShards returns a region's shards of the request's pool in the order in
-// which to ask them. Requests with the same prefix prefer the same shard, unless
+// which to ask them, none if the request must not run in the region. Requests with the same prefix prefer the same shard, unless
 // fewer asks wait at the second shard in the order.
 func (r *Remote) rankedShards(region string, req *classifier.Request) []sharder.Shard {
+	if !allowsRegion(r.Source.Current(), req, region) {
+		return nil
+	}
 	shards := r.Assigner.Current().Layout.ShardsOf(region, req.Pool)
 	if len(shards) < 2 {
 		return shards
--- a/daemon/reserver/limited_share.go
+++ b/daemon/reserver/limited_share.go
@@ -2,14 +2,16 @@
 
 import (
 	"maps"
+	"math"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/sharder"
 )
 
-// What daemons that can't reach the scheduler of a shard send to an upstream that names a
-// limit. Each part of a large fleet is less than a request, so few daemons use it; the
+// What daemons that can't reach the scheduler of a shard send to an upstream with a limit, by its
+// own word or while it is cold. Each part of a large fleet is less than a request, so few daemons use it; the
 // scheduler, or a new one, may grant slots at the same time.
 const (
 	// limitSharers is the number of daemons of the region that use an upstream with a limit.
@@ -34,38 +36,50 @@
 // allowanceLifetime is longer than any allowance takes to be full again.
 const allowanceLifetime = 1 * clock.Minute
 
-// permits reports whether a request may be sent to the upstream now.
-func (s *limitedShare) permits(now clock.Millis, upstream string) bool {
+// limitOf returns the requests per second that an upstream takes from all daemons together.
+func (s *limitedShare) limitOf(u inventory.Upstream, cold inventory.ColdLimit) (perSecond float64, limited bool) {
+	perSecond = math.Inf(1)
+	if word, _ := s.noticer.WordOf(u.Name); word.Limited {
+		perSecond = word.Limit
+	}
+	if cold.Limits() && u.ColdLeftMS > 0 {
+		perSecond = min(perSecond, cold.PerSecond)
+	}
+	return perSecond, !math.IsInf(perSecond, 1)
+}
+
+// permits reports whether a request may be sent to the upstream of a pool now.
+func (s *limitedShare) permits(now clock.Millis, u inventory.Upstream, cold inventory.ColdLimit) bool {
 	if s.noticer == nil {
 		return true
 	}
-	if s.noticer.Avoids(now, upstream) {
+	if s.noticer.Avoids(now, u.Name) {
 		return false
 	}
-	word, _ := s.noticer.WordOf(upstream)
-	if !word.Limited {
+	limit, limited := s.limitOf(u, cold)
+	if !limited {
 		return true
 	}
-	if !s.isSharer(upstream) {
+	if !s.isSharer(u.Name) {
 		return false
 	}
-	allowance := s.allowances[upstream]
+	allowance := s.allowances[u.Name]
 	if allowance == nil {
 		return true
 	}
-	allowance.Fill(now, max(sharedPart*word.Limit, minSharedRate)/limitSharers, 1)
+	allowance.Fill(now, max(sharedPart*limit, minSharedRate)/limitSharers, 1)
 	return allowance.Has()
 }
 
-// take counts a request that is sent to the upstream.
-func (s *limitedShare) take(now clock.Millis, upstream string) {
+// take counts a request that is sent to the upstream of a pool.
+func (s *limitedShare) take(now clock.Millis, u inventory.Upstream, cold inventory.ColdLimit) {
 	if s.noticer == nil {
 		return
 	}
-	if word, _ := s.noticer.WordOf(upstream); !word.Limited {
+	if _, limited := s.limitOf(u, cold); !limited {
 		return
 	}
-	allowance := s.allowances[upstream]
+	allowance := s.allowances[u.Name]
 	if allowance == nil {
 		if s.allowances == nil {
 			s.allowances = map[string]*noticer.Allowance{}
@@ -73,7 +87,7 @@
 		maps.DeleteFunc(s.allowances, func(_ string, a *noticer.Allowance) bool { return now-a.FilledAt() > allowanceLifetime })
 		allowance = &noticer.Allowance{}
 		allowance.Fill(now, 1, 1)
-		s.allowances[upstream] = allowance
+		s.allowances[u.Name] = allowance
 	}
 	allowance.Take()
 }
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	upstream, err := l.awaitSlot(waitCtx, l.Source.Current().Upstreams, req, excluded)
 	if err == nil {
-		return &localSlot{local: l, upstream: upstream}, nil
+		return &localSlot{local: l, upstream: upstream, request: req}, nil
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -98,12 +98,14 @@
 		l.slotFreed = make(chan struct{})
 	}
 	hasUpstream := false
+	config := l.Source.Current()
+	pool, _ := inventory.Lookup(config.Pools, req.Pool)
 	for _, u := range upstreams {
-		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) || (l.Holds != nil && l.Holds(u)) {
+		if u.Pool != req.Pool || u.Leaving || slices.Contains(excluded, u.Name) || (l.Holds != nil && l.Holds(u)) || !allowsUpstream(config, req, u) {
 			continue
 		}
 		hasUpstream = true
-		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.share(u) || !l.limits.permits(l.Clock.Now(), u.Name) {
+		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.share(u) || !l.limits.permits(l.Clock.Now(), u, pool.Cold) {
 			continue
 		}
 		if !found || l.running[u.Name]*best.Slots < l.running[best.Name]*u.Slots {
@@ -112,7 +114,7 @@
 	}
 	if found {
 		l.running[best.Name]++
-		l.limits.take(l.Clock.Now(), best.Name)
+		l.limits.take(l.Clock.Now(), best, pool.Cold)
 		return best, true, nil
 	}
 	if !hasUpstream {
@@ -153,6 +155,7 @@
 type localSlot struct {
 	local    *Local
 	upstream inventory.Upstream
+	request  *classifier.Request
 	once     sync.Once
 }
 
@@ -160,7 +163,9 @@
 func (s *localSlot) Upstream() inventory.Upstream { return s.upstream }
 
 // Confirm implements Slot.
-func (s *localSlot) Confirm() bool { return true }
+func (s *localSlot) Confirm() bool {
+	return allowsUpstream(s.local.Source.Current(), s.request, s.upstream)
+}
 
 // Hear implements Slot.
 func (s *localSlot) Hear(noticer.Notice) {}
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -74,8 +74,9 @@
 func (r *Remote) awaitPause(ctx context.Context, w want) (ended bool, left clock.Millis) {
 	now := r.Clock.Now()
 	var end clock.Millis
-	for _, u := range r.Source.Current().Upstreams {
-		if u.Pool != w.request.Pool || u.Leaving || slices.Contains(w.excluded, u.Name) {
+	config := r.Source.Current()
+	for _, u := range config.Upstreams {
+		if u.Pool != w.request.Pool || u.Leaving || slices.Contains(w.excluded, u.Name) || !allowsUpstream(config, w.request, u) {
 			continue
 		}
 		if pauseEnd := r.Noticer.PauseEnd(u.Name); pauseEnd > now && (end == 0 || pauseEnd < end) {
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -225,21 +225,16 @@
 }
 
 // isHeldByLimits reports whether a request with an objective may have to wait for an upstream
-// that names a limit, while upstreams of other regions have none.
+// with a limit, while upstreams of other regions have none.
 func (r *Remote) isHeldByLimits(req *classifier.Request, home []sharder.Shard) bool {
 	if req.LatencyObjective <= 0 || req.LastWriteAt > 0 {
 		return false
 	}
-	return slices.ContainsFunc(home, func(shard sharder.Shard) bool {
-		return slices.ContainsFunc(shard.Upstreams, func(u inventory.Upstream) bool {
-			word, _ := r.Noticer.WordOf(u.Name)
-			return word.Limited
-		})
-	})
+	return slices.ContainsFunc(home, func(shard sharder.Shard) bool { return slices.ContainsFunc(shard.Upstreams, r.mayBeLimited) })
 }
 
 // reserveInOtherRegions serves a request whose pool has no upstream in this
-// region. It repeats the search while no scheduler of another region answers.
+// region, or that must not run here. It repeats the search while no scheduler of another region answers.
 func (r *Remote) reserveInOtherRegions(ctx context.Context, w want) (res *reservation, err error) {
 	for {
 		res, err = r.spill(ctx, w, true)
--- a/daemon/resolver/resolver.go
+++ b/daemon/resolver/resolver.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 
@@ -57,7 +58,8 @@
 	// other daemon; nil means that it never is cut off.
 	Isolated func() bool
 	// OwnRegionOnly leaves out the daemons of other regions if the answer holds any
-	// daemon of the caller's region.
+	// daemon of the caller's region, and else those outside of the home regions of the host's
+	// routes if it holds any inside.
 	OwnRegionOnly bool
 }
 
@@ -67,7 +69,7 @@
 }
 
 func (v *Resolver) serveAddresses(w http.ResponseWriter, r *http.Request) {
-	answer := v.Answer(r.URL.Query().Get("region"))
+	answer := v.Answer(r.URL.Query().Get("region"), "")
 	if len(answer.Addresses) == 0 {
 		refusal := refuser.New(http.StatusServiceUnavailable, "not ready", "this daemon does not know the others yet")
 		refusal.RetryAfter = notReadyRetryAfter
@@ -78,9 +80,9 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// Answer returns the answer for a caller of the region; an empty region means
-// that of this daemon.
-func (v *Resolver) Answer(region string) Answer {
+// Answer returns the answer for a caller of the region that asks for a host; an empty
+// region means that of this daemon, and an empty host any.
+func (v *Resolver) Answer(region, host string) Answer {
 	self := v.Members.Self()
 	if region == "" {
 		region = self.Region
@@ -96,22 +98,24 @@
 		LifetimeMS: v.Lifetime(),
 	}
 	if v.OwnRegionOnly {
-		answer.Addresses = preferRegion(answer.Addresses, region)
+		answer.Addresses = preferRegions(answer.Addresses, []string{region}, config.HomesOfHost(host))
 	}
 	return answer
 }
 
-// preferRegion returns the addresses of the region, or all if it has none.
-func preferRegion(addresses []Address, region string) (local []Address) {
-	for _, a := range addresses {
-		if a.Region == region {
-			local = append(local, a)
+// preferRegions returns the addresses in the first of the sets of regions that has any, or all.
+func preferRegions(addresses []Address, sets ...[]string) (preferred []Address) {
+	for _, regions := range sets {
+		for _, a := range addresses {
+			if slices.Contains(regions, a.Region) {
+				preferred = append(preferred, a)
+			}
+		}
+		if len(preferred) > 0 {
+			return preferred
 		}
 	}
-	if len(local) == 0 {
-		return addresses
-	}
-	return local
+	return addresses
 }
 
 // Lifetime returns how long callers may cache an answer returned now. While the
--- a/daemon/resolver/resolver_test.go
+++ b/daemon/resolver/resolver_test.go
@@ -92,12 +92,12 @@
 		Members: staticMembers{member("a1", "a", gossiper.Alive, 0, 0), member("a2", "a", gossiper.Alive, 1, 0)},
 		Ready:   func() bool { return ready },
 	}
-	got := v.Answer("a")
+	got := v.Answer("a", "")
 	if len(got.Addresses) != 1 || got.Addresses[0].Address != "a2" || got.LifetimeMS != inventory.MinAddressLifetime {
 		t.Fatalf("before it is ready: got %+v", got)
 	}
 	ready = true
-	if got = v.Answer("a"); got.LifetimeMS != inventory.DefaultAddressLifetime {
+	if got = v.Answer("a", ""); got.LifetimeMS != inventory.DefaultAddressLifetime {
 		t.Fatalf("once it is ready: got %+v", got)
 	}
 }
@@ -110,12 +110,12 @@
 		Members:  staticMembers{member("a1", "a", gossiper.Alive, 1, 0), member("a2", "a", gossiper.Alive, 1, 0)},
 		Isolated: func() bool { return true },
 	}
-	if got := v.Answer("a").Addresses; len(got) != 1 || got[0].Address != "a2" {
+	if got := v.Answer("a", "").Addresses; len(got) != 1 || got[0].Address != "a2" {
 		t.Fatalf("while cut off: got %+v, want a2 only", got)
 	}
 	v.Isolated = nil
 	v.Retired = func(m gossiper.Member) bool { return m.Name == "a2" }
-	if got := v.Answer("a").Addresses; len(got) != 1 || got[0].Address != "a1" {
+	if got := v.Answer("a", "").Addresses; len(got) != 1 || got[0].Address != "a1" {
 		t.Fatalf("with a2 retired: got %+v, want a1 only", got)
 	}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -80,6 +80,10 @@
 	// OrderShare is the largest share of a pool's requests that a version may get before
 	// the time of the order for it is over; 0 stands for a tenth.
 	OrderShare float64 `toml:"order_share" validate:"gte=0,lte=1"`
+	// ColdExcess and ColdSlack bound the requests that a cold upstream may get in a second: the rate
+	// that its pool states, times ColdExcess, plus ColdSlack. 0 for both sets no such bound.
+	ColdExcess float64 `toml:"cold_excess" validate:"gte=0"`
+	ColdSlack  float64 `toml:"cold_slack" validate:"gte=0"`
 	// Regions maps failure domains to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 }
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -21,6 +21,16 @@
 	text := strings.NewReplacer(
 		`{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.0.0.1:1"`, "{{#zones}}", "", "{{/zones}}", "", `"{{@}}" = "{{.}}"`, `"zone-a" = "region-a"`,
 	).Replace(string(template))
+	// A section of a value is there once if the platform states the value.
+	text = regexp.MustCompile(`(?s)\{\{#([a-z.-]+)\}\}(.*?)\{\{/[a-z.-]+\}\}`).ReplaceAllStringFunc(text, func(section string) string {
+		name, body, _ := strings.Cut(strings.TrimPrefix(section, "{{#"), "}}")
+		value, found := values[name]
+		if !found {
+			return ""
+		}
+		body, _, _ = strings.Cut(body, "{{/")
+		return strings.ReplaceAll(body, "{{.}}", value)
+	})
 	text = regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		name := strings.Trim(placeholder, "{}")
 		if value, found := values[name]; found {
@@ -47,20 +57,23 @@
 	path := renderSettings(t, map[string]string{
 		"bounds.grace-s": "7.5", "bounds.config-apply-ms": "2500.5", "bounds.budget-ratio": "0.25", "bounds.budget-extra": "54.5",
 		"bounds.quota-slack": "190000.5", "bounds.quota-window-s": "8.5", "bounds.expose-share": "0.1", "limits.memory-mb": "284.5",
+		"bounds.cold-excess": "1.5", "bounds.cold-slack": "5.5",
 	})
 	var s settings
 	if err := loader.Load(loader.Source{Path: path}, &s); err != nil {
 		t.Fatal(err)
 	}
 	h := s.Hosted
-	if h.StopMS != 7500 || h.ConfigApplyMS != 2500.5 || h.RetryExtra != 54.5 || h.LimitSlackTokens != 190000.5 || h.LimitWindowS != 8.5 || s.MemoryMB != 284.5 {
+	if h.StopMS != 7500 || h.ConfigApplyMS != 2500.5 || h.RetryExtra != 54.5 || h.LimitSlackTokens != 190000.5 || h.LimitWindowS != 8.5 ||
+		s.MemoryMB != 284.5 || h.ColdExcess != 1.5 || h.ColdSlack != 5.5 {
 		t.Errorf("%+v", *h)
 	}
 	path = renderSettings(t, map[string]string{
 		"bounds.grace-s": "8", "bounds.config-apply-ms": "2500", "bounds.budget-ratio": "0", "bounds.budget-extra": "54",
 		"bounds.quota-slack": "190000", "bounds.quota-window-s": "8", "bounds.expose-share": "0.1", "limits.memory-mb": "284",
 	})
-	if err := loader.Load(loader.Source{Path: path}, &s); err != nil || s.Hosted.StopMS != 8000 {
+	s = settings{}
+	if err := loader.Load(loader.Source{Path: path}, &s); err != nil || s.Hosted.StopMS != 8000 || s.Hosted.ColdSlack != 0 {
 		t.Errorf("whole numbers: %v, %+v", err, *s.Hosted)
 	}
 }
