Trace what waits for the end of a run, and who pays

Change: the wait for the end of an attempt is a metric and, from 10 ms on, a log line. Bound requests show their homes in `request ended`.

The wait is left as it is: nothing that a dark worker says ends it sooner.

--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -158,6 +158,9 @@
 	return r.req.Repeatable() && (!found || route.Idempotent || (route.Stream && route.Resumable))
 }
 
+// loggedEndWait is the least wait for the end of an upstream's work that is logged.
+const loggedEndWait = 10 * clock.Millisecond
+
 // awaitEnd waits until the upstream of an attempt that ended with end has stopped working on the
 // request, before the request goes on at another one.
 func (r *requestState) awaitEnd(ctx context.Context, end attemptEnd) {
@@ -165,11 +168,21 @@
 		return
 	}
 	begun := r.Clock.Now()
-	if r.lastRun.AwaitEnd(ctx) || ctx.Err() != nil {
+	known := r.lastRun.AwaitEnd(ctx)
+	waited := r.Clock.Now() - begun
+	r.metrics.endWaits.Observe(waited.Duration().Seconds())
+	switch {
+	case ctx.Err() != nil:
+		return
+	case known:
+		if waited >= loggedEndWait {
+			klog.InfoS("upstream has stopped working on a request that goes on elsewhere", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream,
+				"end", end.String(), "waited_ms", waited)
+		}
 		return
 	}
 	klog.InfoS("upstream may still work on a request that goes on elsewhere", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream,
-		"end", end.String(), "waited_ms", r.Clock.Now()-begun)
+		"end", end.String(), "waited_ms", waited)
 	r.metrics.unconfirmedEnds.Inc()
 }
 
@@ -298,6 +311,16 @@
 	return ""
 }
 
+// homes returns the home regions of the request's route and organisation in force, "" if it is
+// bound by none.
+func (r *requestState) homes() string {
+	homes := r.Source.Current().HomesInForce(r.req.Route, r.req.Organisation, r.req.Homes)
+	if !homes.Bound() {
+		return ""
+	}
+	return fmt.Sprintf("route %v, organisation %v", homes.ByRoute, homes.ByOrganisation)
+}
+
 // recordEnd logs and counts the outcome of a request.
 func (r *requestState) recordEnd(ctx context.Context, err error) {
 	outcome := "whole"
@@ -327,6 +350,6 @@
 	klog.InfoS("request ended", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, "route", r.req.Route,
 		"tier", r.req.Tier, logger.KeyUpstream, r.lastUpstream, "outcome", outcome, "status", r.status, "reason", reason, "tries", r.tries,
 		"runs", r.runs, "waited_ms", waited, "first_ms", first, "took_ms", now-r.req.Arrived, "left_ms", r.timeLeft(),
-		"prompt_tokens", r.req.PromptTokens, "revision", r.Source.Current().Revision)
+		"prompt_tokens", r.req.PromptTokens, "homes", r.homes(), "revision", r.Source.Current().Revision)
 	r.metrics.countRequest(strconv.Itoa(r.req.Tier), outcome, now-r.req.Arrived)
 }
--- a/daemon/forwarder/metrics.go
+++ b/daemon/forwarder/metrics.go
@@ -14,6 +14,8 @@
 	// unconfirmedEnds counts attempts whose upstream did not close the connection before the
 	// request went on at another one.
 	unconfirmedEnds prometheus.Counter
+	// endWaits measures how long requests wait for the end of their last attempt.
+	endWaits prometheus.Histogram
 }
 
 func (m *metrics) init(registerer prometheus.Registerer) {
@@ -30,8 +32,12 @@
 	m.unconfirmedEnds = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "yuccaspread_forward_unconfirmed_ends_total", Help: "Attempts whose upstream may still have worked on the request when another one began.",
 	})
+	m.endWaits = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "yuccaspread_forward_end_wait_seconds", Help: "Time for which a request waited until its last upstream had stopped, or could be presumed to have stopped.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 4, 6),
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.attempts, m.durations, m.unconfirmedEnds)
+		registerer.MustRegister(m.requests, m.attempts, m.durations, m.unconfirmedEnds, m.endWaits)
 	}
 }
 
