Send large configurations deflated between daemons

Cause: a fetch from a peer is given up after 0.5 s, a limit derived for 500 small rows. Four peers fetch a configuration with 1,574 routes at once over 10 Mbit/s, which takes longer; most fetches failed and began anew. By the log of all daemons revision 9 was in force at the first daemon at 22.99 s and at the last at 28.21 s, revision 12 from 24.22 to 28.74 s, where one of 52 routes took 0.17 s.

Change: values from 4 KB on are deflated, once for each version, for peers that accept it.

Evidence: TestLargeConfigurationReachesAllDaemonsInTime has most daemons at the older revision without the change, and passes with it at 9, 82 and 350 daemons.

--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -122,6 +122,7 @@
 	// unusableRevision is a revision of a peer that could not be decoded here, 0 for none.
 	unusableRevision int64
 	lapses           lapseTracker
+	packer           packer
 	// evacuations holds the evacuated failure domains, by row key.
 	evacuations map[string]evacuation
 	// decodedUpstreams caches the decoded rows of upstreams, by key.
--- a/daemon/follower/news_test.go
+++ b/daemon/follower/news_test.go
@@ -119,7 +119,7 @@
 	d.fetching = true
 	requested := d.follower.requestedVersions()
 	f.after(max(d.callTime, from.callTime), func() {
-		reply := from.follower.buildReply(requested)
+		reply := from.follower.buildReply(&wire.SyncRequest{Have: requested, AcceptsPacked: true})
 		f.after(max(d.callTime, from.callTime), func() { f.receive(d, reply) })
 	})
 }
--- /dev/null
+++ b/daemon/follower/packing_test.go
@@ -0,0 +1,123 @@
+package follower
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"yuccaspread/common/inventory"
+)
+
+// largeConfig returns a configuration with as many routes as users have added at once.
+func largeConfig(revision int) string {
+	random := rand.New(rand.NewPCG(uint64(revision), 5))
+	name := func() (text string) {
+		for range 9 {
+			text += string(rune('a' + random.IntN(26)))
+		}
+		return text
+	}
+	config := inventory.Config{Revision: int64(revision), Pools: []inventory.Pool{{Name: "p"}}}
+	for range 1600 {
+		config.Routes = append(config.Routes, inventory.Route{
+			Name: "r-" + name(), Host: name()[:6] + ".example", Path: "/" + name() + "/", Pool: "drafting-models", Tier: "priority-0-1",
+			Idempotent: true, MaxAttempts: 2, TimeoutMS: 1000, ObjectiveMS: 1000,
+		})
+	}
+	text, _ := json.Marshal(config)
+	return string(text)
+}
+
+// slowLink is the link of a VM, on which transfers follow each other.
+type slowLink struct {
+	mu             sync.Mutex
+	bytesPerSecond float64
+	freeAt         time.Time
+}
+
+// linkOf10Mbit is the slowest link of the users' VMs.
+const linkOf10Mbit = 10e6 / 8
+
+// transfer returns after a number of bytes has passed the link.
+func (l *slowLink) transfer(size int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(size) / l.bytesPerSecond * float64(time.Second)))
+	wait := time.Until(l.freeAt)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// TestLargeConfigurationReachesAllDaemonsInTime guards against a configuration with many routes that
+// spreads so slowly, over slow links, that daemons serve an older one beyond the apply bound.
+func TestLargeConfigurationReachesAllDaemonsInTime(t *testing.T) {
+	for _, count := range []int{9, 82, 350} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				register := &restoredRegister{era: 1, refused: map[string]bool{}}
+				register.put("c", "k", configOf(1))
+				fleet := startFleet(t, count, 2500, func(name string) Register { return restoredLink{register, name} })
+				for _, p := range fleet {
+					p.link = &slowLink{bytesPerSecond: linkOf10Mbit}
+				}
+				time.Sleep(6 * time.Second)
+				checkInForce(t, fleet, 1)
+				register.put("c", "k", largeConfig(2))
+				time.Sleep(settleTime)
+				checkInForce(t, fleet, 2)
+				register.put("c", "k", largeConfig(3))
+				time.Sleep(settleTime)
+				checkInForce(t, fleet, 3)
+			})
+		})
+	}
+}
+
+// TestPackedValuesAreWhole guards against values that change on their way, that are packed for a
+// daemon of an earlier version, or that fill the memory when they are unpacked.
+func TestPackedValuesAreWhole(t *testing.T) {
+	var p packer
+	row := Row{Table: "c", Key: "k", Value: []byte(largeConfig(1)), Version: 5}
+	sent := p.toWire(row, true)
+	got, err := fromWire(sent)
+	if err != nil || !bytes.Equal(got.Value, row.Value) || got.Version != row.Version {
+		t.Errorf("%d of %d bytes, %v", len(got.Value), len(row.Value), err)
+	}
+	size := proto.Size(sent)
+	t.Logf("%d bytes for a value of %d", size, len(row.Value))
+	if size > len(row.Value)/4 {
+		t.Error("the value is not packed")
+	}
+	if &p.toWire(row, true).GetPacked()[0] != &sent.GetPacked()[0] {
+		t.Error("a value was packed twice")
+	}
+	row.Version, row.Value = 6, []byte(largeConfig(2))
+	if got, _ = fromWire(p.toWire(row, true)); !bytes.Equal(got.Value, row.Value) {
+		t.Error("the packed value is that of an older version")
+	}
+	if plain := p.toWire(row, false); !bytes.Equal(plain.GetValue(), row.Value) || plain.GetPacked() != nil {
+		t.Error("the value was packed for a daemon that doesn't accept it")
+	}
+	bomb := packer{}
+	huge := bomb.toWire(Row{Table: "c", Key: "k", Value: make([]byte, maxUnpackedBytes+1)}, true)
+	if _, err = fromWire(huge); err == nil {
+		t.Error("a value without a bound was taken")
+	}
+	huge.Packed = huge.GetPacked()[:100]
+	if _, err = fromWire(huge); err == nil {
+		t.Error("a cut value was taken")
+	}
+}
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -214,11 +214,8 @@
 		if !x.beginFetch(address) {
 			return
 		}
-		have, timeout := x.Follower.requestedVersions(), syncTimeout
-		if slices.ContainsFunc(have, func(v *wire.TableVersion) bool { return v.GetVersion() == 0 }) {
-			timeout = wholeTimeout
-		}
-		reply, err := x.call(ctx, address, timeout, &wire.SyncRequest{Have: have})
+		have := x.Follower.requestedVersions()
+		reply, err := x.call(ctx, address, fetchTimeout(have), &wire.SyncRequest{Have: have, AcceptsPacked: true})
 		if err != nil {
 			continue
 		}
@@ -233,6 +230,14 @@
 	}
 }
 
+// fetchTimeout returns the time within which the rows after some versions have to arrive.
+func fetchTimeout(have []*wire.TableVersion) clock.Millis {
+	if slices.ContainsFunc(have, func(v *wire.TableVersion) bool { return v.GetVersion() == 0 }) {
+		return wholeTimeout
+	}
+	return syncTimeout
+}
+
 // queueFetch lets the next fetch go to the same peer, which has more rows, unless
 // another peer is queued.
 func (x *Exchanger) queueFetch(address string) {
@@ -302,7 +307,7 @@
 	if in.GetOnlyTells() {
 		return &wire.SyncReply{Have: x.Follower.knownVersions()}, nil
 	}
-	return x.Follower.buildReply(in.GetHave()), nil
+	return x.Follower.buildReply(in), nil
 }
 
 // knownVersions returns the settled version of each table. All rows up to it are
@@ -389,12 +394,12 @@
 }
 
 // buildReply returns the rows that a peer lacks, given the versions that it knows.
-func (f *Follower) buildReply(peerVersions []*wire.TableVersion) (out *wire.SyncReply) {
+func (f *Follower) buildReply(in *wire.SyncRequest) (out *wire.SyncReply) {
 	have := f.knownVersions()
 	out = &wire.SyncReply{Have: have}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, v := range peerVersions {
+	for _, v := range in.GetHave() {
 		rows, whole, complete := f.rowsSince(v.GetTable(), Version(v.GetVersion()))
 		switch {
 		case whole:
@@ -416,9 +421,7 @@
 			out.Gaps = append(out.Gaps, &wire.VersionGap{Table: v.GetTable(), After: int64(gap.after), Before: int64(gap.before)})
 		}
 		for _, row := range rows {
-			out.Rows = append(out.Rows, &wire.FollowedRow{
-				Table: row.Table, Key: row.Key, Value: row.Value, Version: int64(row.Version), Gone: row.Removed,
-			})
+			out.Rows = append(out.Rows, f.packer.toWire(row, in.GetAcceptsPacked()))
 		}
 	}
 	return out
@@ -453,9 +456,12 @@
 	defer f.mu.Unlock()
 	byTable := map[string][]Row{}
 	for _, r := range reply.GetRows() {
-		byTable[r.GetTable()] = append(byTable[r.GetTable()], Row{
-			Table: r.GetTable(), Key: r.GetKey(), Value: r.GetValue(), Version: Version(r.GetVersion()), Removed: r.GetGone(),
-		})
+		row, err := fromWire(r)
+		if err != nil {
+			klog.ErrorS(err, "row of a peer can't be unpacked; its reply is not used", "table", r.GetTable(), "key", r.GetKey(), "peer", peer)
+			return false
+		}
+		byTable[row.Table] = append(byTable[row.Table], row)
 	}
 	for _, gap := range reply.GetGaps() {
 		f.replica.addListingGap(gap.GetTable(), versionSpan{Version(gap.GetAfter()), Version(gap.GetBefore())})
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/wire"
 	"yuccaspread/daemon/gossiper"
 )
 
@@ -27,7 +28,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		actual, receiver := map[string]Row{}, newIdleFollower()
 		reader, lister, slowReader := newIdleFollower(), newIdleFollower(), newIdleFollower()
-		syncFrom := func(from *Follower) { receiver.applyReply(from.buildReply(receiver.requestedVersions()), "peer") }
+		syncFrom := func(from *Follower) {
+			receiver.applyReply(from.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
+		}
 		rows := func() (all []Row) {
 			for _, row := range actual {
 				all = append(all, row)
@@ -96,7 +99,7 @@
 		reader, lister := daemons[0], daemons[1]
 		syncBetween := func(to, from int) {
 			if to != from {
-				daemons[to].applyReply(daemons[from].buildReply(daemons[to].requestedVersions()), "peer")
+				daemons[to].applyReply(daemons[from].buildReply(&wire.SyncRequest{Have: daemons[to].requestedVersions()}), "peer")
 			}
 		}
 		// Large enough to be sent whole only on request.
@@ -161,11 +164,11 @@
 	}
 	reader, receiver := newIdleFollower(), newIdleFollower()
 	reader.replica.ApplyListing("t", rows, count)
-	receiver.applyReply(reader.buildReply(receiver.requestedVersions()), "peer")
+	receiver.applyReply(reader.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
 	// One row is removed and one changes before the reader lists the table again.
 	rows = append(rows[1:count-1], newContentRow('y', fmt.Sprint(count-1), count+2))
 	reader.replica.ApplyListing("t", rows, count+2)
-	receiver.applyReply(reader.buildReply(receiver.requestedVersions()), "peer")
+	receiver.applyReply(reader.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
 	if known := receiver.replica.Rows("t"); len(known) != count-1 || receiver.replica.NewestVersion("t") != count+2 {
 		t.Errorf("%d rows, newest version %d", len(known), receiver.replica.NewestVersion("t"))
 	}
@@ -185,7 +188,7 @@
 	rows = append(rows[1:], newContentRow('x', "new", count+2))
 	restarted.replica.ApplyListing("t", rows, count+2)
 	for attempt := range maxWithheldReplies + 1 {
-		reply := restarted.buildReply(receiver.requestedVersions())
+		reply := restarted.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()})
 		receiver.applyReply(reply, "peer")
 		if requested := attempt == maxWithheldReplies; (len(reply.GetRows()) > 0) != requested {
 			t.Fatalf("sync %d: %d rows", attempt, len(reply.GetRows()))
@@ -194,7 +197,7 @@
 	if known := receiver.replica.Rows("t"); len(known) != count || receiver.replica.NewestVersion("t") != count+2 {
 		t.Errorf("%d rows, newest version %d", len(known), receiver.replica.NewestVersion("t"))
 	}
-	if reply := restarted.buildReply(receiver.requestedVersions()); len(reply.GetRows()) != 0 {
+	if reply := restarted.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}); len(reply.GetRows()) != 0 {
 		t.Errorf("%d rows are sent again", len(reply.GetRows()))
 	}
 }
@@ -204,17 +207,17 @@
 func TestLapsedRowsAreNotSentAsRemoved(t *testing.T) {
 	sender, receiver := newIdleFollower(), newIdleFollower()
 	sender.replica.ApplyListing("t", []Row{newContentRow('x', "a", 1), newContentRow('x', "b", 2)}, 2)
-	receiver.applyReply(sender.buildReply(receiver.requestedVersions()), "peer")
+	receiver.applyReply(sender.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
 	removals := sender.replica.ApplyFeed("t", []Row{{Table: "t", Key: "a", Version: 3, Removed: true}}, 3)
 	sender.lapses.noteMassRemoval(0)
 	sender.lapses.recoveredAt = 1
 	sender.lapses.noteChange(2, removals[0])
-	receiver.applyReply(sender.buildReply(receiver.requestedVersions()), "peer")
+	receiver.applyReply(sender.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
 	if rows := receiver.replica.Rows("t"); len(rows) != 2 {
 		t.Errorf("known %+v", rows)
 	}
 	sender.lapses.expire(rewriteGrace + 1)
-	receiver.applyReply(sender.buildReply(receiver.requestedVersions()), "peer")
+	receiver.applyReply(sender.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()}), "peer")
 	if rows := receiver.replica.Rows("t"); len(rows) != 1 || rows[0].Key != "b" {
 		t.Errorf("known %+v", rows)
 	}
@@ -231,7 +234,7 @@
 		sender.replica.ApplyFeed("t", []Row{newContentRow('x', fmt.Sprint(i), i+2)}, i+2)
 	}
 	for batch, want := range []int{maxReplyRows, maxReplyRows, 7, 0} {
-		reply := sender.buildReply(receiver.requestedVersions())
+		reply := sender.buildReply(&wire.SyncRequest{Have: receiver.requestedVersions()})
 		receiver.applyReply(reply, "peer")
 		if len(reply.GetRows()) != want {
 			t.Fatalf("batch %d has %d rows", batch, len(reply.GetRows()))
--- a/daemon/follower/restore_test.go
+++ b/daemon/follower/restore_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/wire"
 )
 
 // restoredRegister is a register that can be restored from a copy: what was written since is gone,
@@ -437,7 +438,7 @@
 			if !started.isBehind(running.knownVersions()) {
 				break
 			}
-			started.applyReply(running.buildReply(started.requestedVersions()), "peer")
+			started.applyReply(running.buildReply(&wire.SyncRequest{Have: started.requestedVersions()}), "peer")
 		}
 		if revision := started.Current().Revision; revision != 11 {
 			t.Errorf("peer has listed the copy %v: revision %d, want 11", restored, revision)
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
@@ -159,6 +161,8 @@
 	*Exchanger
 
 	fleet []*loopPeers
+	// link is that of the daemon's VM, nil for one without a bound.
+	link *slowLink
 }
 
 const testCallTime = 5 * time.Millisecond
@@ -191,8 +195,16 @@
 	if !p.Follower.isBehind(have) || ctx.Err() != nil {
 		return
 	}
-	reply := from.Follower.buildReply(p.Follower.requestedVersions())
+	requested, begun := p.Follower.requestedVersions(), time.Now()
+	timeout := fetchTimeout(requested)
+	reply := from.Follower.buildReply(&wire.SyncRequest{Have: requested, AcceptsPacked: true})
+	size := proto.Size(reply)
+	from.link.transfer(size)
+	p.link.transfer(size)
 	time.Sleep(testCallTime)
+	if time.Since(begun) > timeout.Duration() {
+		return
+	}
 	changed := p.Follower.applyReply(reply, from.View.Self().Name)
 	p.Follower.noteConfirmations(reply.GetHave())
 	if changed {
@@ -242,7 +254,7 @@
 		cancel()
 		running.Wait()
 		// Exchanges between daemons that are under way end.
-		time.Sleep(time.Second)
+		time.Sleep(time.Minute)
 	})
 	return fleet
 }
