Send the configuration once in a reply to a peer

What happened: a reply to a peer that lacks the configuration held its row twice, as a row that has changed and as the newest one that could be decoded, so that large ones took twice the time on slow links.

Cause: the row that can be decoded was added whether or not it is the newest one.

Evidence: TestConfigurationIsSentOnce got two rows before, one after.

--- a/daemon/follower/packing_test.go
+++ b/daemon/follower/packing_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/wire"
 )
 
 // largeConfig returns a configuration with as many routes as users have added at once.
@@ -86,6 +87,19 @@
 	}
 }
 
+// TestConfigurationIsSentOnce guards against a reply that holds the configuration twice.
+func TestConfigurationIsSentOnce(t *testing.T) {
+	f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "u"}, Clock: &manualClock{now: 1000}, Decoder: testDecoder{}}
+	f.setup()
+	f.applyChanges(f.replica.ApplyListing("c", []Row{{Table: "c", Key: "k", Value: []byte(configOf(3)), Version: 7}}, 7), "register")
+	for _, version := range []int64{0, 5} {
+		reply := f.buildReply(&wire.SyncRequest{Have: []*wire.TableVersion{{Table: "c", Version: version}}})
+		if rows := len(reply.GetRows()); rows != 1 {
+			t.Errorf("%d rows for a peer that knows version %d, want 1", rows, version)
+		}
+	}
+}
+
 // TestPackedValuesAreWhole guards against values that change on their way, that are packed for a
 // daemon of an earlier version, or that fill the memory when they are unpacked.
 func TestPackedValuesAreWhole(t *testing.T) {
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -442,7 +442,7 @@
 	} else {
 		rows = f.replica.RowsSince(table, version)
 	}
-	if usable := f.configRow; table == usable.Table && version < usable.Version {
+	if usable := f.configRow; table == usable.Table && version < usable.Version && !slices.ContainsFunc(rows, usable.isSameVersion) {
 		// The newest row may be one that can't be decoded.
 		rows = append([]Row{usable}, rows...)
 	}
--- a/daemon/follower/replica.go
+++ b/daemon/follower/replica.go
@@ -25,6 +25,11 @@
 	Removed bool
 }
 
+// isSameVersion reports whether another row is the same version of this one.
+func (r Row) isSameVersion(other Row) bool {
+	return r.Table == other.Table && r.Key == other.Key && r.Version == other.Version
+}
+
 // Change is a row that was added, changed or removed.
 type Change struct {
 	Row
