--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -23,6 +23,7 @@
 	running    *prometheus.GaugeVec
 	lowestTier *prometheus.GaugeVec
 	failures   prometheus.Counter
+	coldGrants prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -43,9 +44,12 @@
 		failures: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "yuccaspread_scheduler_failures_total", Help: "Schedulers of shards that failed and were started anew.",
 		}),
+		coldGrants: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_scheduler_cold_grants_total", Help: "Slots granted on upstreams that were cold.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures)
+		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures, m.coldGrants)
 	}
 	return m
 }
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -294,6 +294,9 @@
 	now := r.granter.Clock.Now()
 	state.grantedAt = now
 	r.granter.metrics.recordGrant(state, now)
+	if e.Cold {
+		r.granter.metrics.coldGrants.Inc()
+	}
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
 		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited,
--- a/daemon/reserver/places_test.go
+++ b/daemon/reserver/places_test.go
@@ -15,7 +15,8 @@
 		Regions: []inventory.Region{{Name: "a", FailureDomains: []string{"a1", "a2"}, Evacuated: []string{"a1"}}, {Name: "b", FailureDomains: []string{"b1"}}},
 		Routes:  []inventory.Route{{Name: "r", HomeRegions: []string{"a"}}},
 		Upstreams: []inventory.Upstream{
-			{Name: "u1", Pool: "p", Region: "a", FailureDomain: "a1", Slots: 10}, {Name: "u2", Pool: "p", Region: "a", FailureDomain: "a2", Slots: 10},
+			{Name: "u1", Pool: "p", Region: "a", FailureDomain: "a1", Slots: 10},
+			{Name: "u2", Pool: "p", Region: "a", FailureDomain: "a2", Slots: 10},
 			{Name: "u3", Pool: "p", Region: "b", FailureDomain: "b1", Slots: 10},
 		},
 	}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -189,6 +189,8 @@
 	Expires clock.Millis `json:"expires_ms"`
 	// Limited is set if the upstream names a limit, as far as is known here.
 	Limited bool `json:"limited,omitempty"`
+	// Cold is set if the upstream is cold, as far as is known here.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Reason is the cause of a refusal.
