Make room for requests that upstreams tell of with their answers

Cause: parts of a fleet that can't reach each other schedule the same upstreams, each up to all of their slots, and what an answer says of load reached one error text and no decision.

Change: running, waiting and slots go to the shard's scheduler with the message on the first token, or on the end, and count as polled reports do.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -75,7 +75,7 @@
 	case info.NotRun:
 		sender.Discard(res, chunkBytes, discardTimeout)
 		return notRun, 0, fmt.Errorf("%w: status %d, other instance %t, load %d+%d of %d", errNotRun, res.StatusCode,
-			info.OtherInstance, info.Running, info.Waiting, info.Slots)
+			info.OtherInstance, info.Notice.Load.Running, info.Notice.Load.Waiting, info.Notice.Load.Slots)
 	case r.headWritten && !r.continuesStream(res):
 		sender.Discard(res, chunkBytes, discardTimeout)
 		return failed, 0, fmt.Errorf("%w: status %d", errNoContinuation, res.StatusCode)
--- a/daemon/forwarder/protocol.go
+++ b/daemon/forwarder/protocol.go
@@ -38,9 +38,6 @@
 	OtherInstance bool
 	// Notice is what the upstream said of itself.
 	Notice noticer.Notice
-	// Running, Waiting and Slots are the upstream's load in requests; Slots is 0 if
-	// the upstream does not report it.
-	Running, Waiting, Slots int
 }
 
 // Protocol writes the request headers and reads the answer headers of the protocol
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -24,6 +24,8 @@
 	lowestTier *prometheus.GaugeVec
 	failures   prometheus.Counter
 	coldGrants prometheus.Counter
+	// sharedGrants counts the grants on upstreams that others use too.
+	sharedGrants prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -47,9 +49,12 @@
 		coldGrants: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "yuccaspread_scheduler_cold_grants_total", Help: "Slots granted on upstreams that were cold.",
 		}),
+		sharedGrants: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_scheduler_shared_grants_total", Help: "Slots granted on upstreams that had requests of other schedulers too.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures, m.coldGrants)
+		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures, m.coldGrants, m.sharedGrants)
 	}
 	return m
 }
--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -62,6 +62,10 @@
 	// namedAt is when named was set.
 	namedAt  time.Duration
 	arrivals map[string][]time.Duration
+	// running counts the requests on each upstream. Upstreams tell it with their answers while
+	// tellsLoad is set.
+	running   map[string]int
+	tellsLoad bool
 	// limitedRegion restricts the limit to the upstreams of a region; empty means all.
 	limitedRegion string
 	// prompt counts the requests of that region that were answered within their objective
@@ -112,7 +116,7 @@
 func newLimitedFleet(ctx context.Context, daemons, upstreams int, requestsPerSecond float64, regions ...string) *limitedFleet {
 	f := &limitedFleet{
 		start: time.Now(), source: &source{}, regions: regions, views: map[string][]gossiper.Member{}, nodes: map[string]*limitedNode{},
-		arrivals: map[string][]time.Duration{}, cut: map[[2]string]bool{},
+		arrivals: map[string][]time.Duration{}, cut: map[[2]string]bool{}, running: map[string]int{},
 	}
 	config := inventory.Config{Revision: 1, Pools: []inventory.Pool{{Name: pool}}, Tiers: []inventory.Tier{{Name: "t0", CrossRegionBytesPerHour: 1 << 40}}}
 	for _, name := range regions {
@@ -266,13 +270,19 @@
 	}
 	time.Sleep(upstreamLatency)
 	f.mu.Lock()
-	f.arrivals[slot.Upstream().Name] = append(f.arrivals[slot.Upstream().Name], f.since())
+	name := slot.Upstream().Name
+	f.arrivals[name] = append(f.arrivals[name], f.since())
+	f.running[name]++
 	f.mu.Unlock()
 	time.Sleep(workTime)
 	f.mu.Lock()
 	var notice noticer.Notice
+	if f.tellsLoad {
+		notice.Load = noticer.Load{Running: f.running[name], Slots: slot.Upstream().Slots}
+	}
+	f.running[name]--
 	if f.named && (f.limitedRegion == "" || f.limitedRegion == slot.Upstream().Region) {
-		notice = noticer.Notice{Limited: true, Limit: f.limit}
+		notice.Limited, notice.Limit = true, f.limit
 	}
 	if counts && f.Now()-now <= objective {
 		f.prompt++
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -297,6 +297,9 @@
 	if e.Cold {
 		r.granter.metrics.coldGrants.Inc()
 	}
+	if e.Foreign > 0 {
+		r.granter.metrics.sharedGrants.Inc()
+	}
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
 		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited,
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -38,7 +38,9 @@
 
 func toFirstToken(daemon string, f *wire.FirstToken) input {
 	return input{
-		message:  scheduler.FirstToken{ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: int(f.GetCachedTokens())},
+		message: scheduler.FirstToken{
+			ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: int(f.GetCachedTokens()), Told: toTold(f.GetTold()),
+		},
 		duration: clock.Millis(f.GetWaitedMs()),
 	}
 }
@@ -52,11 +54,18 @@
 		message: scheduler.End{
 			ID:    scheduler.AskID{Daemon: daemon, Number: e.GetAskId()},
 			Usage: reserver.Usage{Outcome: toOutcome(e.GetOutcome()), OutputTokens: int(e.GetOutputTokens())},
+			Told:  toTold(e.GetTold()),
 		},
 		duration: clock.Millis(e.GetDecodeMs()),
 	}
 }
 
+func toTold(t *wire.ToldLoad) scheduler.Told {
+	return scheduler.Told{
+		Age: clock.Millis(max(t.GetHeardMsAgo(), 0)), Running: int(t.GetRunning()), Waiting: int(t.GetWaiting()), Slots: int(t.GetSlots()),
+	}
+}
+
 func toNotice(now clock.Millis, n *wire.UpstreamNotice) input {
 	return input{message: scheduler.Notice{
 		Upstream: n.GetUpstream(), HeardAt: now - clock.Millis(max(n.GetHeardMsAgo(), 0)), Limited: n.GetLimited(), Limit: n.GetLimit(),
--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -26,8 +26,19 @@
 	// RetryAfter is how long the upstream wants no requests from this daemon, 0 if it
 	// said nothing of the kind.
 	RetryAfter clock.Millis
+	// Load is the upstream's load, which is for its scheduler only.
+	Load Load
 }
 
+// Load is what an upstream told of its load. The zero value is that of one that told nothing.
+type Load struct {
+	// Running and Waiting are the requests on it, and Slots those that it runs at once, above 0.
+	Running, Waiting, Slots int
+}
+
+// Told reports whether the upstream told its load.
+func (l Load) Told() bool { return l.Slots > 0 }
+
 // Word is what an upstream is known to say of itself.
 type Word struct {
 	// Limited is set if the upstream named a limit in its latest answer, and Limit is that
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -5,6 +5,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/sharder"
 )
 
@@ -69,6 +70,9 @@
 	isWithdrawn        bool
 	// limited is set if the scheduler knows of a limit that the upstream names.
 	limited bool
+	// told is what the upstream told of its load at toldAt, until the scheduler is told of it.
+	told   noticer.Load
+	toldAt clock.Millis
 	// chargedBytes is the estimated cross-region volume that was charged for the
 	// request; 0 for requests that stay in their region.
 	chargedBytes int64
@@ -267,15 +271,29 @@
 	}
 	res.firstTokenAt = max(r.Clock.Now(), 1)
 	res.schedulerKnowsSent = true
-	l, delay := res.link, res.firstTokenAt-res.grantedAt
+	l, delay, told := res.link, res.firstTokenAt-res.grantedAt, res.takeTold()
 	r.mu.Unlock()
 	if l != nil {
 		l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_FirstToken{FirstToken: &wire.FirstToken{
-			AskId: res.askID, WaitedMs: int64(delay), CachedTokens: int32(cachedTokens),
+			AskId: res.askID, WaitedMs: int64(delay), CachedTokens: int32(cachedTokens), Told: told,
 		}}})
 	}
 }
 
+// takeTold returns what the upstream told of its load and the scheduler does not know, nil for
+// nothing. It is called with Remote.mu held.
+func (res *reservation) takeTold() (told *wire.ToldLoad) {
+	if !res.told.Told() {
+		return nil
+	}
+	told = &wire.ToldLoad{
+		HeardMsAgo: int64(res.remote.Clock.Now() - res.toldAt), Running: int32(res.told.Running), Waiting: int32(res.told.Waiting),
+		Slots: int32(res.told.Slots),
+	}
+	res.told = noticer.Load{}
+	return told
+}
+
 // End implements Slot.
 func (res *reservation) End(usage Usage) {
 	r := res.remote
@@ -290,12 +308,15 @@
 	if l == nil {
 		return
 	}
+	r.mu.Lock()
 	var decode clock.Millis
 	if res.firstTokenAt > 0 {
 		decode = r.Clock.Now() - res.firstTokenAt
 	}
+	told := res.takeTold()
+	r.mu.Unlock()
 	l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_End{End: &wire.End{
-		AskId: res.askID, Outcome: toWireOutcome(usage.Outcome), OutputTokens: int32(usage.OutputTokens), DecodeMs: int64(decode),
+		AskId: res.askID, Outcome: toWireOutcome(usage.Outcome), OutputTokens: int32(usage.OutputTokens), DecodeMs: int64(decode), Told: told,
 	}}})
 }
 
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -28,6 +28,7 @@
 	r.Noticer.Observe(r.Clock.Now(), res.request.ID, res.upstream.Name, notice)
 	r.mu.Lock()
 	l, limited := res.link, res.limited
+	res.told, res.toldAt = notice.Load, r.Clock.Now()
 	r.mu.Unlock()
 	if l != nil && (notice.Limited || notice.Leaving || limited) {
 		l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_Notice{Notice: &wire.UpstreamNotice{
--- a/daemon/scheduler/lag.go
+++ b/daemon/scheduler/lag.go
@@ -23,6 +23,8 @@
 	history  [historyLength]runningSample
 	// next is the number of samples recorded so far.
 	next int
+	// expiresAt is when the estimate ends unless there is another report; 0 for never.
+	expiresAt clock.Millis
 }
 
 // recordRunning records the number of this scheduler's running requests from
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -60,12 +60,24 @@
 type FirstToken struct {
 	ID           AskID `json:"id"`
 	CachedTokens int   `json:"cached_tokens"`
+	Told         Told  `json:"told,omitzero"`
 }
 
 // End reports that a granted request no longer uses its slot.
 type End struct {
 	ID    AskID          `json:"id"`
 	Usage reserver.Usage `json:"usage"`
+	Told  Told           `json:"told,omitzero"`
+}
+
+// Told is what an upstream told of its load with the answer to a request, Age before now. The zero
+// value is that of one that told nothing.
+type Told struct {
+	Age clock.Millis `json:"age_ms,omitempty"`
+	// Running and Waiting are the requests on it, and Slots those that it runs at once, above 0.
+	Running int `json:"running,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
+	Slots   int `json:"slots,omitempty"`
 }
 
 // Announce tells a new scheduler of a grant that an earlier one gave.
@@ -191,6 +203,8 @@
 	Limited bool `json:"limited,omitempty"`
 	// Cold is set if the upstream is cold, as far as is known here.
 	Cold bool `json:"cold,omitempty"`
+	// Foreign is the estimated number of requests on the upstream that this scheduler did not grant.
+	Foreign int `json:"foreign,omitempty"`
 }
 
 // Reason is the cause of a refusal.
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -205,7 +205,7 @@
 	s.pace.recordGrant(s.now, a.entry.Tier)
 	s.index.Store(a.PrefixHashes, u.bit)
 	s.unconfirmed = append(s.unconfirmed, a)
-	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold})
+	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold, Foreign: u.foreign.count})
 }
 
 // occupySlot counts an ask as running on an upstream.
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -61,6 +61,7 @@
 	u := a.upstream
 	a.confirmed = true
 	a.firstTokenAt = s.now
+	s.hearTold(u, m.Told)
 	s.learnPrefill(a, m.CachedTokens)
 	if a.cachedTokens > 0 {
 		u.cacheAccuracy.learn(a.cachedTokens, m.CachedTokens)
@@ -113,6 +114,7 @@
 	}
 	u := a.upstream
 	u.recordOutcome(m.Usage.Outcome)
+	s.hearTold(u, m.Told)
 	switch m.Usage.Outcome {
 	case reserver.Completed:
 		s.learnGap(a, m.Usage.OutputTokens)
@@ -222,6 +224,7 @@
 // the measurements may be outdated.
 func (s *State) checkUpstreams() {
 	for _, u := range s.upstreams {
+		s.expireTold(u)
 		if u.running == 0 && u.measuredAt != 0 && s.now-u.measuredAt >= speedLifetime {
 			s.speeds.Reset(u.Name, u.Generation)
 			u.measuredAt = s.now
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -159,12 +159,17 @@
 
 // addRunning changes the number of running requests by delta.
 func (u *upstream) addRunning(now clock.Millis, delta int) {
-	u.runningIntegral = u.runningIntegralAt(now)
-	u.integralAt = now
+	u.integrateRunning(now)
 	u.running += delta
 	u.foreign.recordRunning(now, u.running)
 }
 
+// integrateRunning brings the integral of running requests up to now, before their number changes.
+func (u *upstream) integrateRunning(now clock.Millis) {
+	u.runningIntegral = u.runningIntegralAt(now)
+	u.integralAt = now
+}
+
 // runningIntegralAt returns the integral of running requests until now.
 func (u *upstream) runningIntegralAt(now clock.Millis) float64 {
 	return u.runningIntegral + float64(u.running+u.foreign.count)*float64(now-u.integralAt)
@@ -245,8 +250,7 @@
 	}
 	u.version = m.Version
 	u.draining = m.Leaving
-	u.runningIntegral = u.runningIntegralAt(s.now)
-	u.integralAt = s.now
+	u.integrateRunning(s.now)
 	u.foreign.handleReport(m)
 	u.tokenBudget.handleReport(s.now, m, u.tokens, u.Slots)
 }
