Bound what upstreams that may be cold get by the second, not by a bucket

Cause: any upstream of a pool with a cold limit was held to 12 requests a second and a burst of 5, so that 17 in a second, which the users allow for a cold one, are never exceeded.

Change: `max_in_second` replaces the bucket: one request less than it in any second, by the times of the latest ones.

--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"regexp"
 	"slices"
@@ -201,13 +200,10 @@
 }
 
 func (k *checker) checkCold(p Pool) {
-	rates := map[string]float64{"per_second": p.Cold.PerSecond, "max_per_second": p.Cold.MaxPerSecond, "max_burst": p.Cold.MaxBurst}
-	for _, field := range slices.Sorted(maps.Keys(rates)) {
-		rate := rates[field]
-		k.require(isFiniteNonNegative(rate) && rate <= MaxColdRate, PoolEntryKind, p.Name, "cold."+field, "must be from 0 to %v", float64(MaxColdRate))
-	}
+	k.require(isFiniteNonNegative(p.Cold.PerSecond) && p.Cold.PerSecond <= MaxColdRate, PoolEntryKind, p.Name, "cold.per_second", "must be from 0 to %v", float64(MaxColdRate))
+	k.require(inRange(p.Cold.MaxInSecond, 0, MaxColdInSecond), PoolEntryKind, p.Name, "cold.max_in_second", "must be from 0 to %d", MaxColdInSecond)
 	k.require(inRange(p.Cold.WarmUpMS, 0, MaxColdTime), PoolEntryKind, p.Name, "cold.warm_up_ms", "must be from 0 to %d", MaxColdTime)
-	k.require(p.Cold.MaxPerSecond == 0 || p.Cold.MaxPerSecond >= p.Cold.PerSecond, PoolEntryKind, p.Name, "cold.max_per_second", "is below cold.per_second")
+	k.require(p.Cold.MaxInSecond == 0 || float64(p.Cold.MaxInSecond) >= p.Cold.PerSecond, PoolEntryKind, p.Name, "cold.max_in_second", "is below cold.per_second")
 }
 
 func (k *checker) checkLimits() {
--- a/common/inventory/homes.go
+++ b/common/inventory/homes.go
@@ -116,17 +116,19 @@
 	PerSecond float64 `json:"per_second,omitempty" toml:"per_second,omitempty"`
 	// WarmUpMS is how long an upstream is cold after its start, in milliseconds.
 	WarmUpMS clock.Millis `json:"warm_up_ms,omitempty" toml:"warm_up_ms,omitempty"`
-	// MaxPerSecond and MaxBurst bound what any upstream of the pool gets, as it may have become
-	// cold before that is known; MaxPerSecond 0 sets no bound.
-	MaxPerSecond float64 `json:"max_per_second,omitempty" toml:"max_per_second,omitempty"`
-	MaxBurst     float64 `json:"max_burst,omitempty" toml:"max_burst,omitempty"`
+	// MaxInSecond is the number of requests that any upstream of the pool may get in any second, as
+	// it may have become cold before that is known; 0 sets no bound.
+	MaxInSecond int `json:"max_in_second,omitempty" toml:"max_in_second,omitempty"`
 }
 
+// MaxColdInSecond is the largest MaxInSecond of a ColdLimit.
+const MaxColdInSecond = 10_000
+
 // MaxColdTime is the longest time for which an upstream counts as cold.
 const MaxColdTime = 1 * clock.Hour
 
 // MaxColdRate is the largest rate of a ColdLimit, in requests per second.
-const MaxColdRate = 1e6
+const MaxColdRate = 1e4
 
 // Limits reports whether the pool's upstreams can be cold.
 func (l ColdLimit) Limits() bool { return l.PerSecond > 0 }
--- a/daemon/scheduler/cold.go
+++ b/daemon/scheduler/cold.go
@@ -13,8 +13,32 @@
 type coldState struct {
 	// until is when the upstream has warmed up, by its own word or as presumed.
 	until clock.Millis
-	// allowance is what it may get while it is cold, and ceiling what it may get at any time.
-	allowance, ceiling noticer.Allowance
+	// allowance is what it may get while it is cold.
+	allowance noticer.Allowance
+	// latest holds when it got its latest requests, in a ring of which next is the oldest.
+	latest []clock.Millis
+	next   int
+}
+
+// coldMargin is by how many requests a second the bound of a pool is not used up: some that are
+// granted at different times arrive together.
+const coldMargin = 1
+
+// hasSecond reports whether the upstream got fewer than a number of requests in the last second.
+func (c *coldState) hasSecond(now clock.Millis, most int) bool {
+	if len(c.latest) != max(most-coldMargin, 1) {
+		return true
+	}
+	return now-c.latest[c.next] >= clock.Second
+}
+
+// takeSecond counts a request among the latest ones, of which it keeps as many as may come in a second.
+func (c *coldState) takeSecond(now clock.Millis, most int) {
+	if most = max(most-coldMargin, 1); len(c.latest) != most {
+		c.latest, c.next = slices.Repeat([]clock.Millis{now - clock.Second}, most), 0
+	}
+	c.latest[c.next] = now
+	c.next = (c.next + 1) % len(c.latest)
 }
 
 // minColdBurst is the least number of requests that a cold upstream may get at once.
@@ -61,7 +85,6 @@
 		rate *= unsureShare
 	}
 	u.cold.allowance.Fill(s.now, rate, max(minColdBurst, rate*limitBurstTime.Duration().Seconds()))
-	u.cold.ceiling.Fill(s.now, limit.MaxPerSecond, max(limit.MaxBurst, minColdBurst))
 }
 
 // withinCold reports whether an upstream may get one more request, cold or not.
@@ -74,16 +97,19 @@
 	if s.now < u.cold.until && !u.cold.allowance.Has() {
 		return false
 	}
-	return limit.MaxPerSecond == 0 || u.cold.ceiling.Has()
+	return limit.MaxInSecond == 0 || u.cold.hasSecond(s.now, limit.MaxInSecond)
 }
 
 // takeCold counts a request that an upstream gets. What a warm one gets counts for the time in
 // which it is cold and not yet known to be.
 func (s *State) takeCold(u *upstream) {
-	if !s.coldLimits[u.Pool].Limits() {
+	limit := s.coldLimits[u.Pool]
+	if !limit.Limits() {
 		return
 	}
-	u.cold.ceiling.Take()
+	if limit.MaxInSecond > 0 {
+		u.cold.takeSecond(s.now, limit.MaxInSecond)
+	}
 	if u.cold.allowance.Has() {
 		u.cold.allowance.Take()
 	}
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -129,7 +129,6 @@
 	case reserver.NotSent:
 		u.limit.allowance.Return()
 		u.cold.allowance.Return()
-		u.cold.ceiling.Return()
 	case reserver.Failed, reserver.Cancelled:
 	}
 	s.release(a)
