Weigh which upstreams still hold the beginning of a prompt

A server that still holds the beginning of a prompt answers sooner, but on the users' platform, where callers name the parts of their prompts, nothing used that.

Change: `keeper` estimates for each upstream which parts it holds, by what was read there since, its memory and its running requests, corrected by what it tells or by measured times. The scheduler counts a held part as read, on the one scale on which it compares upstreams. Setting `kept_prompts`; off, nothing changes.

--- a/common/inventory/checker.go
+++ b/common/inventory/checker.go
@@ -195,6 +195,7 @@
 		default:
 			k.addMistake(PoolEntryKind, p.Name, "kind", "%q is neither %q nor %q", p.Kind, PoolModel, PoolService)
 		}
+		k.require(p.MemoryTokens >= 0, PoolEntryKind, p.Name, "memory_tokens", "must not be negative")
 		k.checkCold(p)
 	}
 }
--- a/common/inventory/inventory.go
+++ b/common/inventory/inventory.go
@@ -53,6 +53,9 @@
 	Model string `json:"model,omitempty" toml:"model,omitempty"`
 	// Version is the version that the pool serves outside of moves.
 	Version string `json:"version,omitempty" toml:"version,omitempty"`
+	// MemoryTokens is the memory of each upstream for running and kept prompts, in tokens; 0 means
+	// that it is unknown.
+	MemoryTokens int `json:"memory_tokens,omitempty" toml:"memory_tokens,omitempty"`
 	// Cold is what its upstreams take just after they have started.
 	Cold ColdLimit `json:"cold,omitzero" toml:"cold,omitempty"`
 }
--- a/daemon/classifier/hosts.go
+++ b/daemon/classifier/hosts.go
@@ -96,7 +96,8 @@
 		Fingerprint: fingerprint(a, head, body), Homes: inventory.HomesOf(route, a.Organisation),
 	}
 	for _, part := range head.PromptParts {
-		req.PromptParts = append(req.PromptParts, xxhash.Sum64String(pool.Name+"\x00"+part))
+		req.PromptParts = append(req.PromptParts, xxhash.Sum64String(pool.Name+"\x00"+part.ID))
+		req.PartTokens = append(req.PartTokens, part.Tokens)
 	}
 	timeout := cmp.Or(head.Timeout, tier.DeadlineMS, defaultTimeout)
 	if route.TimeoutMS > 0 {
--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -50,8 +50,9 @@
 	PrefixHashes []uint64
 	Fingerprint  uint64
 	// PromptParts are the hashes of the parts that the prompt shares with those of other
-	// requests, where the caller names them.
+	// requests, where the caller names them, and PartTokens their lengths.
 	PromptParts []uint64
+	PartTokens  []int
 
 	// Resumable reports whether another upstream can continue a stream.
 	Resumable bool
@@ -143,7 +144,12 @@
 	MaxTokens      int
 	ExpectedTokens int
 	LastEventID    string
-	// PromptParts are the ids of the parts that the prompt shares with those of other
-	// requests.
-	PromptParts []string
+	// PromptParts are the parts that the prompt shares with those of other requests, in order.
+	PromptParts []PromptPart
+}
+
+// PromptPart is a part of a prompt, as a caller names it.
+type PromptPart struct {
+	ID     string
+	Tokens int
 }
--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -77,12 +77,13 @@
 	return granterResult{Granter: g, Service: service}
 }
 
-func newRemote(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, g *granter.Granter, registerer prometheus.Registerer) *reserver.Remote {
+func newRemote(s settings, source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, g *granter.Granter, registerer prometheus.Registerer) *reserver.Remote {
 	region := view.Self().Region
 	return &reserver.Remote{
 		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
-		Noticer: &noticer.Noticer{Registerer: registerer},
-		Dial:    newDialer(view.Self().Name, g, reserver.NewStreamDialer(peers)),
+		Noticer:     &noticer.Noticer{Registerer: registerer},
+		KeptPrompts: s.Hosted != nil && s.Hosted.KeptPrompts,
+		Dial:        newDialer(view.Self().Name, g, reserver.NewStreamDialer(peers)),
 		Local: &reserver.Local{
 			Source: source, Clock: c, Daemons: func() int { return a.Current().Daemons(region) },
 		},
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -120,7 +120,7 @@
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
 	watch.recordProgress()
-	slot.FirstToken(0)
+	slot.FirstToken(reserver.CachedUnknown)
 	r.recordFirstByte()
 	if len(buffered) == maxBufferedBytes {
 		return r.forwardLargeBody(ctx, res, buffered)
@@ -194,7 +194,7 @@
 	if progressed {
 		watch.recordProgress()
 		if before == 0 {
-			slot.FirstToken(0)
+			slot.FirstToken(reserver.CachedUnknown)
 			r.recordFirstByte()
 		}
 	}
--- a/daemon/granter/feeder.go
+++ b/daemon/granter/feeder.go
@@ -69,13 +69,17 @@
 			weights[o.Name] = o.Weight
 		}
 	}
-	cold := map[string]inventory.ColdLimit{}
+	cold, memory := map[string]inventory.ColdLimit{}, map[string]int{}
 	for _, p := range config.Pools {
+		if p.MemoryTokens > 0 {
+			memory[p.Name] = p.MemoryTokens
+		}
 		if p.Cold.Limits() {
 			cold[p.Name] = p.Cold
 		}
 	}
 	c.rules = &scheduler.Rules{
-		Tiers: config.Tiers, Weights: weights, Limits: config.Limits.WithDefaults(), Cold: cold, Evacuated: config.EvacuatedDomains(),
+		Tiers: config.Tiers, Weights: weights, Limits: config.Limits.WithDefaults(), Cold: cold, Memory: memory,
+		Evacuated: config.EvacuatedDomains(),
 	}
 }
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -3,6 +3,7 @@
 import (
 	"yuccaspread/common/clock"
 	"yuccaspread/common/wire"
+	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 )
@@ -19,6 +20,11 @@
 		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
 		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), ObjectiveOnly: a.GetObjectiveOnly(), Avoided: a.GetAvoided(),
 	}
+	for i, hash := range a.GetPartHashes() {
+		if tokens := a.GetPartTokens(); i < len(tokens) {
+			ask.Parts = append(ask.Parts, keeper.Part{Hash: uint64(hash), Tokens: int(max(tokens[i], 0))})
+		}
+	}
 	if a.GetHasObjective() {
 		ask.Objective = now + clock.Millis(a.GetObjectiveMs())
 	}
@@ -37,9 +43,13 @@
 }
 
 func toFirstToken(daemon string, f *wire.FirstToken) input {
+	cached := int(f.GetCachedTokens())
+	if f.GetCachedUnknown() {
+		cached = reserver.CachedUnknown
+	}
 	return input{
 		message: scheduler.FirstToken{
-			ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: int(f.GetCachedTokens()), Told: toTold(f.GetTold()),
+			ID: scheduler.AskID{Daemon: daemon, Number: f.GetAskId()}, CachedTokens: cached, Told: toTold(f.GetTold()),
 		},
 		duration: clock.Millis(f.GetWaitedMs()),
 	}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -275,7 +275,8 @@
 	r.mu.Unlock()
 	if l != nil {
 		l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_FirstToken{FirstToken: &wire.FirstToken{
-			AskId: res.askID, WaitedMs: int64(delay), CachedTokens: int32(cachedTokens), Told: told,
+			AskId: res.askID, WaitedMs: int64(delay), CachedTokens: int32(max(cachedTokens, 0)), Told: told,
+			CachedUnknown: r.KeptPrompts && cachedTokens == CachedUnknown,
 		}}})
 	}
 }
@@ -352,6 +353,11 @@
 		MaxTokens: int32(req.MaxTokens), Idempotent: req.Idempotent, PrefixHashes: hashes,
 		Fingerprint: req.Fingerprint, Excluded: res.excluded,
 	}
+	if res.remote.KeptPrompts {
+		for i, hash := range req.PromptParts {
+			ask.PartHashes, ask.PartTokens = append(ask.PartHashes, uint32(hash)), append(ask.PartTokens, int32(req.PartTokens[i]))
+		}
+	}
 	now := res.remote.Clock.Now()
 	if req.LatencyObjective > 0 && req.LastWriteAt == 0 {
 		ask.HasObjective, ask.ObjectiveMs = true, int64(req.LatencyObjective-(now-req.Arrived))
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -116,8 +116,12 @@
 		return shards
 	}
 	key := req.Fingerprint
-	if len(req.PrefixHashes) > 0 {
+	switch {
+	case len(req.PrefixHashes) > 0:
 		key = req.PrefixHashes[0]
+	case r.KeptPrompts && len(req.PromptParts) > 0 && req.PartTokens[0] >= req.PromptTokens/2:
+		// What is shared is worth more than an even spread.
+		key = req.PromptParts[0]
 	}
 	ranked := sharder.RankShards(shards, key)
 	r.mu.Lock()
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -53,6 +53,9 @@
 	Local *Local
 	// Noticer keeps what upstreams say of themselves; nil stands for one of its own.
 	Noticer *noticer.Noticer
+	// KeptPrompts lets schedulers weigh which upstreams still hold parts of a prompt, for requests
+	// whose callers name the parts.
+	KeptPrompts bool
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -39,6 +39,9 @@
 	NotRun bool `json:"not_run,omitempty"`
 }
 
+// CachedUnknown is the number of cached tokens where an upstream does not tell it.
+const CachedUnknown = -1
+
 // Slot is the right to send one request to one upstream.
 type Slot interface {
 	// Upstream returns the upstream to send to.
@@ -49,7 +52,8 @@
 	Confirm() bool
 	// Hear reports what the upstream said of itself in its answer.
 	Hear(notice noticer.Notice)
-	// FirstToken reports the first token and how much of the prompt was cached.
+	// FirstToken reports the first token and how much of the prompt was cached, CachedUnknown if
+	// the upstream does not tell it.
 	FirstToken(cachedTokens int)
 	// End releases the slot; only the first call has an effect.
 	End(usage Usage)
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -6,6 +6,7 @@
 import (
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/reserver"
 )
 
@@ -35,7 +36,10 @@
 	MaxTokens    int      `json:"max_tokens"`
 	Idempotent   bool     `json:"idempotent"`
 	PrefixHashes []uint64 `json:"prefix_hashes,omitempty"`
-	Fingerprint  uint64   `json:"fingerprint"`
+	// Parts are the parts that the prompt shares with others, where upstreams tell nothing of what
+	// they hold.
+	Parts       []keeper.Part `json:"parts,omitempty"`
+	Fingerprint uint64        `json:"fingerprint"`
 	// ObjectiveOnly is set if the ask is refused at once where it would miss its objective,
 	// because it can be made elsewhere.
 	ObjectiveOnly bool `json:"objective_only,omitempty"`
@@ -56,7 +60,8 @@
 	ID AskID `json:"id"`
 }
 
-// FirstToken reports the first token of a granted request.
+// FirstToken reports the first token of a granted request. CachedTokens is reserver.CachedUnknown if
+// the upstream does not tell it.
 type FirstToken struct {
 	ID           AskID `json:"id"`
 	CachedTokens int   `json:"cached_tokens"`
@@ -105,6 +110,8 @@
 	Limits  inventory.Limits `json:"limits"`
 	// Cold holds, by pool, what its upstreams take while they are cold.
 	Cold map[string]inventory.ColdLimit `json:"cold,omitempty"`
+	// Memory holds, by pool, the memory of each of its upstreams in tokens.
+	Memory map[string]int `json:"memory,omitempty"`
 	// Evacuated names the failure domains whose upstreams get nothing new.
 	Evacuated []string `json:"evacuated,omitempty"`
 }
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -63,6 +63,7 @@
 		eval.eligible |= u.mask()
 		work := placer.Work{PromptTokens: a.PromptTokens, OutputTokens: output}
 		work.CachedTokens = u.cacheAccuracy.expectedHits(int(depths[u.bit])*hasher.BlockTokens, a.PromptTokens)
+		work.CachedTokens = max(work.CachedTokens, s.keptTokens(u, a))
 		load := u.load(s.now)
 		times := placer.PredictTimes(u.speed, load, work)
 		idleMS, loadedMS := s.deadlineTimes(u, a, work, load, times)
@@ -204,6 +205,7 @@
 	s.shares.recordGrant(a)
 	s.pace.recordGrant(s.now, a.entry.Tier)
 	s.index.Store(a.PrefixHashes, u.bit)
+	u.keeper.Use(s.now, a.Parts, a.PromptTokens+a.expectedOutput)
 	s.unconfirmed = append(s.unconfirmed, a)
 	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold, Foreign: u.foreign.count})
 }
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -62,10 +62,14 @@
 	a.confirmed = true
 	a.firstTokenAt = s.now
 	s.hearTold(u, m.Told)
-	s.learnPrefill(a, m.CachedTokens)
-	if a.cachedTokens > 0 {
-		u.cacheAccuracy.learn(a.cachedTokens, m.CachedTokens)
+	cached := m.CachedTokens
+	switch {
+	case cached == reserver.CachedUnknown:
+		cached = s.checkKept(a)
+	case a.cachedTokens > 0:
+		u.cacheAccuracy.learn(a.cachedTokens, cached)
 	}
+	s.learnPrefill(a, cached)
 	s.index.Store(a.PrefixHashes, u.bit)
 	s.finishPrefill(a)
 	a.runningIntegral = u.runningIntegralAt(s.now)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -56,6 +56,8 @@
 	limits inventory.Limits
 	// coldLimits holds what the upstreams of each pool take while they are cold.
 	coldLimits map[string]inventory.ColdLimit
+	// memory holds the memory of the upstreams of each pool, in tokens.
+	memory map[string]int
 	// evacuated names the failure domains whose upstreams get nothing new.
 	evacuated          []string
 	firstTokenTargetMS float64
@@ -167,7 +169,7 @@
 	s.queue.Weights = m.Weights
 	s.queue.Capacity = s.limits.QueuePerShard
 	s.guarantor.Floor, s.guarantor.CheapShare = s.limits.KindFloor, s.limits.CheapKindShare
-	s.coldLimits, s.evacuated = m.Cold, m.Evacuated
+	s.coldLimits, s.evacuated, s.memory = m.Cold, m.Evacuated, m.Memory
 	s.markEvacuated()
 	s.firstTokenTargetMS = 0
 	s.tokenGapTargetMS = 0
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -8,6 +8,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/detector"
 	"yuccaspread/daemon/estimator"
+	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/placer"
 	"yuccaspread/daemon/reserver"
 )
@@ -50,6 +51,8 @@
 	// evacuated is set while its failure domain is evacuated.
 	evacuated bool
 	cold      coldState
+	// keeper estimates which parts of prompts it still holds.
+	keeper keeper.Keeper
 
 	running int
 	// tokens is the sum of the prompt and expected output tokens of the running
@@ -263,6 +266,7 @@
 	if !m.Up && !u.down {
 		// Its cache is lost when it goes down.
 		s.index.Forget(u.bit)
+		u.keeper.Forget()
 	}
 	if m.Up && u.down {
 		s.presumeCold(u)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -84,6 +84,8 @@
 	// that its pool states, times ColdExcess, plus ColdSlack. 0 for both sets no such bound.
 	ColdExcess float64 `toml:"cold_excess" validate:"gte=0"`
 	ColdSlack  float64 `toml:"cold_slack" validate:"gte=0"`
+	// KeptPrompts lets schedulers weigh which upstreams still hold parts of a prompt.
+	KeptPrompts bool `toml:"kept_prompts"`
 	// Regions maps failure domains to their regions.
 	Regions map[string]string `toml:"regions" validate:"required"`
 }
--- a/replayer/generator/generator.go
+++ b/replayer/generator/generator.go
@@ -29,6 +29,9 @@
 	// objective is the promised time to the first token, and patience the time
 	// after which a caller leaves without a token; 0 for none.
 	objective, patience clock.Millis
+	// parts is the number of parts, partTokens long each, of which every prompt begins with one; 0
+	// uses sharedPrefix.
+	parts, partTokens int
 	// sharedPrefix is the length of the prefix that an organisation's requests of
 	// the route share, as a share of promptTokens.
 	sharedPrefix float64
@@ -64,7 +67,7 @@
 
 // Names returns the names of the scenarios.
 func Names() []string {
-	return []string{"steady", "burst", "straggler", "mixed", "crowd", "stale", "lost_upstreams", "zeltfest", "directorate", "promises", "minimum"}
+	return []string{"steady", "burst", "straggler", "mixed", "crowd", "stale", "lost_upstreams", "zeltfest", "directorate", "promises", "minimum", "kept_hot", "kept_warm", "kept_none"}
 }
 
 // Generate generates the trace of a scenario; equal seeds give equal traces.
@@ -173,6 +176,9 @@
 // organisation's requests of a route share. Requests that continue a conversation
 // share nine tenths of their prompt.
 func drawPrefix(random *rand.Rand, o organisation, c class, promptTokens int) (name uint64, tokens int) {
+	if c.parts > 0 {
+		return uint64(1+random.IntN(c.parts)) + uint64(c.tier)<<40, min(c.partTokens, promptTokens)
+	}
 	name = uint64(len(o.name)) << 40
 	for _, b := range []byte(o.name + "/" + c.route) {
 		name = name*31 + uint64(b)
--- a/replayer/generator/scenarios.go
+++ b/replayer/generator/scenarios.go
@@ -43,6 +43,12 @@
 		return promises(), true
 	case "minimum":
 		return minimum(), true
+	case "kept_hot":
+		return keptParts(4, 2500), true
+	case "kept_warm":
+		return keptParts(160, 2500), true
+	case "kept_none":
+		return keptParts(4, 60), true
 	default:
 		return s, false
 	}
@@ -171,6 +177,20 @@
 	return s
 }
 
+// keptParts has prompts as long as those of promises, each of which begins with one of a number of
+// parts. The engines' memory holds a few hundred thousand tokens.
+func keptParts(parts, tokens int) scenario {
+	s := promises()
+	s.header.NamesParts = true
+	for i := range s.classes {
+		s.classes[i].parts, s.classes[i].partTokens = parts, tokens
+	}
+	for i := range s.upstreams {
+		s.upstreams[i].CacheBlocks = 5000
+	}
+	return s
+}
+
 // minimum has long requests of two important tiers, which need three times the slots
 // that there are, and many short ones of the last tier, which need a twentieth of them.
 func minimum() scenario {
--- a/replayer/parser/parser.go
+++ b/replayer/parser/parser.go
@@ -45,6 +45,9 @@
 	// KindFloor and CheapKindShare are the limits of the same names.
 	KindFloor      float64 `json:"kind_floor,omitempty"`
 	CheapKindShare float64 `json:"cheap_kind_share,omitempty"`
+	// NamesParts is set if callers name the part that their prompt shares with others, and
+	// upstreams don't tell what they hold.
+	NamesParts bool `json:"names_parts,omitempty"`
 }
 
 // Upstream is one engine of the trace.
--- a/replayer/runner/request.go
+++ b/replayer/runner/request.go
@@ -6,6 +6,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/hasher"
+	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/replayer/batcher"
@@ -78,6 +79,9 @@
 		Deadline: q.DeadlineMS, Objective: q.ObjectiveMS, Patience: q.patienceEnd(r.nowMS()), PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, Idempotent: q.Idempotent,
 		PrefixHashes: q.blocks, Excluded: slices.Clone(q.excluded),
 	}
+	if r.trace.Header.NamesParts {
+		ask.PrefixHashes, ask.Parts = nil, []keeper.Part{{Hash: q.Prefix, Tokens: q.PrefixTokens}}
+	}
 	r.applyDecisions(q.shard, q.shard.policy.HandleArrival(r.nowMS(), selector.Ask{Ask: ask, Daemon: q.Daemon}))
 }
 
--- a/replayer/runner/result.go
+++ b/replayer/runner/result.go
@@ -14,6 +14,9 @@
 type Result struct {
 	Policy string       `json:"policy"`
 	Tiers  []TierResult `json:"tiers"`
+	// ReadTokens is the number of prompt tokens that engines read up to a first token, without those
+	// that they still held.
+	ReadTokens int64 `json:"read_tokens"`
 	// WastedPrefillTokens counts the prompt tokens computed in attempts that were
 	// cancelled or failed.
 	WastedPrefillTokens int64 `json:"wasted_prefill_tokens"`
--- a/replayer/runner/runner.go
+++ b/replayer/runner/runner.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/replayer/batcher"
 	"yuccaspread/replayer/parser"
@@ -250,6 +251,11 @@
 		}
 		q.firstTokenTime = r.now
 		r.firstTokenTimes = append(r.firstTokenTimes, r.now-float64(q.AtMS))
-		r.applyDecisions(e.shard, e.shard.policy.HandleFirstToken(r.nowMS(), q.number, event.Job.CachedTokens))
+		r.result.ReadTokens += int64(event.Job.PromptTokens - event.Job.CachedTokens)
+		cached := event.Job.CachedTokens
+		if r.trace.Header.NamesParts {
+			cached = reserver.CachedUnknown
+		}
+		r.applyDecisions(e.shard, e.shard.policy.HandleFirstToken(r.nowMS(), q.number, cached))
 	}
 }
--- a/replayer/selector/scheduled.go
+++ b/replayer/selector/scheduled.go
@@ -2,6 +2,7 @@
 
 import (
 	"yuccaspread/common/clock"
+	"yuccaspread/common/hasher"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
@@ -12,10 +13,11 @@
 const reservationRoundTripMS = 2
 
 // schedulerPolicy is the policy of the daemons' scheduler. With deadlinesOnly, it
-// passes neither objectives nor patience to it.
+// passes neither objectives nor patience to it, and with ignoresParts no parts of prompts.
 type schedulerPolicy struct {
 	state         scheduler.State
 	deadlinesOnly bool
+	ignoresParts  bool
 }
 
 func newSchedulerPolicy(head parser.Header, upstreams []parser.Upstream) *schedulerPolicy {
@@ -28,7 +30,7 @@
 	}
 	p.state.Update(0, scheduler.Rules{
 		Tiers: head.Tiers, Weights: head.Weights,
-		Limits: inventory.Limits{KindFloor: head.KindFloor, CheapKindShare: head.CheapKindShare},
+		Limits: inventory.Limits{KindFloor: head.KindFloor, CheapKindShare: head.CheapKindShare}, Memory: memoryOf(upstreams),
 	})
 	p.state.Update(0, scheduler.Upstreams{List: list})
 	return p
@@ -55,9 +57,21 @@
 	if p.deadlinesOnly {
 		ask.Objective, ask.Patience = 0, 0
 	}
+	if p.ignoresParts {
+		ask.Parts = nil
+	}
 	return p.update(now, ask.Ask)
 }
 
+// memoryOf returns, by pool, what the upstreams of the pool remember of prompts, in tokens.
+func memoryOf(upstreams []parser.Upstream) map[string]int {
+	memory := map[string]int{}
+	for _, u := range upstreams {
+		memory[u.Pool] = u.CacheBlocks * hasher.BlockTokens
+	}
+	return memory
+}
+
 // HandleFirstToken implements Policy.
 func (p *schedulerPolicy) HandleFirstToken(now clock.Millis, number uint64, cached int) []Decision {
 	return p.update(now, scheduler.FirstToken{ID: scheduler.AskID{Number: number}, CachedTokens: cached})
--- a/replayer/selector/selector.go
+++ b/replayer/selector/selector.go
@@ -64,6 +64,8 @@
 	DeadlinesOnly = "deadlines"
 	// StrictOrder is the daemons' scheduler without a minimum for any kind of request.
 	StrictOrder = "strict_order"
+	// ReadAgain is the daemons' scheduler that does not weigh which parts upstreams still hold.
+	ReadAgain = "read_again"
 )
 
 // Names returns the names of the policies that are compared in all scenarios, the
@@ -79,6 +81,8 @@
 		return append(Names(), DeadlinesOnly)
 	case "minimum":
 		return append(Names(), StrictOrder)
+	case "kept_hot", "kept_warm", "kept_none":
+		return append(Names(), ReadAgain)
 	default:
 		return Names()
 	}
@@ -93,6 +97,10 @@
 		p := newSchedulerPolicy(head, upstreams)
 		p.deadlinesOnly = true
 		return p, nil
+	case ReadAgain:
+		p := newSchedulerPolicy(head, upstreams)
+		p.ignoresParts = true
+		return p, nil
 	case StrictOrder:
 		head.KindFloor, head.CheapKindShare = 0, 0
 		return newSchedulerPolicy(head, upstreams), nil
