Tell where a request would go now, and why, without sending it

Cause: nobody could ask where a request would go; the terms of a choice lived in the scheduler and were gone with it.

Change: `yuccactl explain` asks a daemon, which asks the schedulers of the shards that it would ask for a slot. `scheduler.Explain` runs the code that decides (`weigh`, which `evaluate` uses too) and changes nothing. Wrong input is named (exit status 2), an unreachable daemon has 1.

--- a/daemon/administrator/administrator.go
+++ b/daemon/administrator/administrator.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -50,6 +51,9 @@
 	Recorder *recorder.Recorder
 	// Moves serves GET /moves; nil answers it with status 404.
 	Moves http.Handler
+	// Explain serves POST /explain for an operator who may ask for some organisations; nil answers it
+	// with status 404.
+	Explain func(w http.ResponseWriter, r *http.Request, mayAsk func(organisation string) bool)
 
 	limitersOnce sync.Once
 	// unknownTokenLimiter limits calls without a known token.
@@ -79,6 +83,7 @@
 	get("/status", a.getStatus)
 	get("/moves", a.getMoves)
 	get("/audit", a.getAudit)
+	admin.HandleFunc("/explain", a.requireRole(inventory.RoleViewer, a.postExplain)).Methods(http.MethodPost)
 	post("/drain", a.postDrain)
 	get("/recorder", a.getRecorder)
 	post("/recorder", a.postRecorder)
@@ -155,6 +160,17 @@
 }
 
 // postDrain begins a planned stop of this daemon and replies without waiting for
+// postExplain serves what the explainer tells.
+func (a *Administrator) postExplain(w http.ResponseWriter, r *http.Request, operator inventory.Operator) {
+	if a.Explain == nil {
+		http.NotFound(w, r)
+		return
+	}
+	a.Explain(w, r, func(organisation string) bool {
+		return len(operator.Organisations) == 0 || slices.Contains(operator.Organisations, organisation)
+	})
+}
+
 // its end.
 func (a *Administrator) postDrain(w http.ResponseWriter, r *http.Request, operator inventory.Operator) {
 	if isScoped(operator) {
--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -19,6 +19,7 @@
 	"yuccaspread/daemon/administrator"
 	"yuccaspread/daemon/configurer"
 	"yuccaspread/daemon/drainer"
+	"yuccaspread/daemon/explainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
 	"yuccaspread/daemon/recorder"
@@ -44,8 +45,9 @@
 	)
 }
 
-func newAdministrator(s settings, c *configurer.Configurer, clk clock.Clock, signals *catcher.Catcher, r *recorder.Recorder) *administrator.Administrator {
+func newAdministrator(s settings, c *configurer.Configurer, clk clock.Clock, signals *catcher.Catcher, r *recorder.Recorder, x *explainer.Explainer) *administrator.Administrator {
 	return &administrator.Administrator{
+		Explain:    x.ServeAs,
 		Configurer: c, Clock: clk, Daemon: s.Name, BootstrapTokenSHA256: s.BootstrapTokenSHA256,
 		Recorder: r, Stop: signals.RequestStop,
 	}
--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -14,6 +14,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/connector"
+	"yuccaspread/daemon/explainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
 	"yuccaspread/daemon/limiter"
@@ -45,6 +46,7 @@
 			newGranter,
 			newRemote,
 			newLimiter,
+			newExplainer,
 			func(l *limiter.Limiter) reserver.Reserver { return l },
 		),
 		fx.Invoke(func(l fx.Lifecycle, g *granter.Granter, r *reserver.Remote, limits *limiter.Limiter) {
@@ -90,6 +92,12 @@
 	}
 }
 
+func newExplainer(source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, r *reserver.Remote, g *granter.Granter, peers *connector.Connector) *explainer.Explainer {
+	return &explainer.Explainer{
+		Source: source, View: view, Assigner: a, Clock: c, Remote: r, Ask: explainer.NewAskFunc(view.Self().Name, g, peers),
+	}
+}
+
 type limiterResult struct {
 	fx.Out
 
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -65,8 +65,9 @@
 	lastRun      *sender.Run
 	// firstByteAt is when the first byte of an answer came, 0 before that.
 	firstByteAt clock.Millis
-	// grantedAt is when the last slot was granted, 0 before that.
+	// grantedAt is when the last slot was granted, 0 before that, and terms are its terms.
 	grantedAt clock.Millis
+	terms     reserver.Terms
 	// status is the status that the caller got, 0 before that.
 	status int
 	// connectionBroke is set if the connection of the last attempt ended early and not by
@@ -108,7 +109,7 @@
 				return err
 			}
 		}
-		r.grantedAt = r.Clock.Now()
+		r.grantedAt, r.terms = r.Clock.Now(), termsOf(slot)
 		r.lastUpstream, r.lastRun = slot.Upstream().Name, &sender.Run{}
 		var end attemptEnd
 		end, replacement, err = r.attempt(ctx, slot)
@@ -311,6 +312,14 @@
 	return ""
 }
 
+// termsOf returns the terms on which a slot's upstream was chosen.
+func termsOf(slot reserver.Slot) (terms reserver.Terms) {
+	if chosen, told := slot.(interface{ Terms() reserver.Terms }); told {
+		terms = chosen.Terms()
+	}
+	return terms
+}
+
 // homes returns the home regions of the request's route and organisation in force, "" if it is
 // bound by none.
 func (r *requestState) homes() string {
@@ -350,6 +359,8 @@
 	klog.InfoS("request ended", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, "route", r.req.Route,
 		"tier", r.req.Tier, logger.KeyUpstream, r.lastUpstream, "outcome", outcome, "status", r.status, "reason", reason, "tries", r.tries,
 		"runs", r.runs, "waited_ms", waited, "first_ms", first, "took_ms", now-r.req.Arrived, "left_ms", r.timeLeft(),
-		"prompt_tokens", r.req.PromptTokens, "homes", r.homes(), "revision", r.Source.Current().Revision)
+		"prompt_tokens", r.req.PromptTokens, "homes", r.homes(), "scheduler", r.terms.Scheduler,
+		"shard", r.terms.Shard, "chosen_running", r.terms.Running, "chosen_first_ms", r.terms.FirstToken, "chosen_kept_tokens", r.terms.KeptTokens,
+		"revision", r.Source.Current().Revision)
 	r.metrics.countRequest(strconv.Itoa(r.req.Tier), outcome, now-r.req.Arrived)
 }
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	allAnnounced bool
 	// goneDaemon names a daemon whose grace period is over.
 	goneDaemon string
+	// explain is set if the other fields are not.
+	explain *explainRequest
 	// duration is the time from the grant to the first token with a FirstToken,
 	// and the time from the first token to the end with an End.
 	duration clock.Millis
@@ -160,6 +163,10 @@
 // handleInput updates the runner's state for one input and passes its message
 // to the scheduler.
 func (r *runner) handleInput(in input) {
+	if in.explain != nil {
+		r.explain(in.explain)
+		return
+	}
 	switch m := in.message.(type) {
 	case scheduler.Ask:
 		r.asks[m.ID] = &askState{ask: m, session: in.session, askedAt: r.granter.Clock.Now()}
@@ -303,6 +310,7 @@
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
 		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited,
+		Running: int32(e.Running + e.Foreign), FirstTokenMs: int32(min(e.FirstTokenMS, math.MaxInt32)), KeptTokens: int32(e.KeptTokens),
 	}}})
 }
 
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -18,6 +18,7 @@
 	"yuccaspread/daemon/attributor"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/drainer"
+	"yuccaspread/daemon/explainer"
 	"yuccaspread/daemon/follower"
 	"yuccaspread/daemon/forwarder"
 	"yuccaspread/daemon/gossiper"
@@ -200,6 +201,7 @@
 	Resolver  *resolver.Resolver
 	Drainer   *drainer.Drainer
 	Registry  *prometheus.Registry
+	Explainer *explainer.Explainer
 }
 
 // serveHosted opens the listening sockets on start. On stop it still accepts
@@ -214,6 +216,9 @@
 	}
 	requestHandler := params.Drainer.Handler(refuseUnlessServing(params.Follower.Ready, params.Drainer.Closed, ingress))
 	metrics := http.NewServeMux()
+	// The operators of the users' platform have no tokens of ours; what is told here is as public as
+	// the metrics.
+	metrics.Handle("POST /v1/admin/explain", params.Explainer)
 	metrics.Handle("/metrics", promhttp.HandlerFor(params.Registry, promhttp.HandlerOpts{}))
 	runDuty(params.Lifecycle, params.Drainer.Run)
 	hosted := params.Settings.Hosted
--- a/daemon/recorder/scheduling.go
+++ b/daemon/recorder/scheduling.go
@@ -20,3 +20,8 @@
 	s.Recorder.Add(now, scheduler.RecordedPackage, s.Shard, kind, scheduler.ReplacesEarlier(kind), m)
 	return s.State.Update(now, m)
 }
+
+// Explain implements granter.Explainer. It is not recorded, as it changes nothing.
+func (s *RecordedScheduler) Explain(now clock.Millis, m scheduler.Ask) scheduler.Explanation {
+	return s.State.Explain(now, m)
+}
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -68,6 +68,8 @@
 	schedulerKnowsSent bool
 	firstTokenAt       clock.Millis
 	isWithdrawn        bool
+	// terms are those on which the upstream was chosen.
+	terms Terms
 	// limited is set if the scheduler knows of a limit that the upstream names.
 	limited bool
 	// told is what the upstream told of its load at toldAt, until the scheduler is told of it.
@@ -204,6 +206,10 @@
 	}
 	r.markHeld(res, upstream, grant.GetVersion())
 	res.limited = grant.GetLimited()
+	res.terms = Terms{
+		Known: true, Shard: res.shard, Scheduler: res.link.peer.Name, Running: int(grant.GetRunning()),
+		FirstToken: clock.Millis(grant.GetFirstTokenMs()), KeptTokens: int(grant.GetKeptTokens()),
+	}
 	r.checkScheduled(res)
 	res.expiresAt = res.grantedAt + clock.Millis(grant.GetExpiresMs()) - confirmTransit
 	res.deliverResult(askResult{})
@@ -224,6 +230,9 @@
 // Upstream implements Slot.
 func (res *reservation) Upstream() inventory.Upstream { return res.upstream }
 
+// Terms returns the terms on which a scheduler chose the upstream.
+func (res *reservation) Terms() Terms { return res.terms }
+
 // Version returns the version that the scheduler chose; empty for a slot of
 // the local share.
 func (res *reservation) Version() string { return res.version }
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 
+	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/noticer"
@@ -62,6 +63,18 @@
 	Withdrawn() <-chan struct{}
 }
 
+// Terms are the terms on which a scheduler chose an upstream. The zero value is that of a slot of
+// the local share.
+type Terms struct {
+	Known            bool
+	Shard, Scheduler string
+	// Running are the requests on the upstream with this one, FirstToken is the expected time to the
+	// first token, and KeptTokens are the tokens of the prompt that it was expected to hold.
+	Running    int
+	FirstToken clock.Millis
+	KeptTokens int
+}
+
 // Reserver provides slots.
 type Reserver interface {
 	// Reserve waits for a slot on an upstream that is not excluded. The error is
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -212,6 +212,11 @@
 	Cold bool `json:"cold,omitempty"`
 	// Foreign is the estimated number of requests on the upstream that this scheduler did not grant.
 	Foreign int `json:"foreign,omitempty"`
+	// Running are the requests on the upstream by this scheduler, FirstTokenMS the expected time to
+	// the first token and KeptTokens the tokens of the prompt that it is expected to hold.
+	Running      int     `json:"running,omitempty"`
+	FirstTokenMS float64 `json:"first_token_ms,omitempty"`
+	KeptTokens   int     `json:"kept_tokens,omitempty"`
 }
 
 // Reason is the cause of a refusal.
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -52,7 +52,6 @@
 func (s *State) evaluateExcept(a *ask, reserved uint64) (eval evaluation) {
 	eval.minTotalMS, eval.minFirstTokenMS = math.Inf(1), math.Inf(1)
 	leftMS := float64(a.Deadline - s.now)
-	output := s.outputEstimate(a)
 	underserved := s.shares.underservedVersion(s, a)
 	depths := s.index.Match(a.PrefixHashes, s.upstreamMask())
 	bestMS := math.Inf(1)
@@ -61,30 +60,52 @@
 			continue
 		}
 		eval.eligible |= u.mask()
-		work := placer.Work{PromptTokens: a.PromptTokens, OutputTokens: output}
-		work.CachedTokens = u.cacheAccuracy.expectedHits(int(depths[u.bit])*hasher.BlockTokens, a.PromptTokens)
-		work.CachedTokens = max(work.CachedTokens, s.keptTokens(u, a))
-		load := u.load(s.now)
-		times := placer.PredictTimes(u.speed, load, work)
-		idleMS, loadedMS := s.deadlineTimes(u, a, work, load, times)
-		eval.minTotalMS = min(eval.minTotalMS, idleMS)
-		eval.minFirstTokenMS = min(eval.minFirstTokenMS, min(times.PrefillMS, idleMS))
-		eval.meetsDeadline = eval.meetsDeadline || idleMS <= leftMS
-		if reserved&u.mask() != 0 || loadedMS > leftMS || !s.hasRoom(u, a, load, times) {
+		w := s.weigh(u, a, &depths)
+		eval.minTotalMS = min(eval.minTotalMS, w.idleMS)
+		eval.minFirstTokenMS = min(eval.minFirstTokenMS, min(w.times.PrefillMS, w.idleMS))
+		eval.meetsDeadline = eval.meetsDeadline || w.idleMS <= leftMS
+		if reserved&u.mask() != 0 || w.loadedMS > leftMS || !s.hasRoom(u, a, w.load, w.times) {
 			continue
 		}
-		score := (times.EndMS + times.AddedDelayMS) * u.expectedAttempts()
+		score := w.score
 		if underserved != "" && u.version == underserved {
 			score -= math.MaxInt32
 		}
 		if score < bestMS {
 			bestMS = score
-			eval.best, eval.bestWork, eval.bestTimes = u, work, times
+			eval.best, eval.bestWork, eval.bestTimes = u, w.work, w.times
 		}
 	}
 	return eval
 }
 
+// weighing is how an ask and an upstream suit each other.
+type weighing struct {
+	work  placer.Work
+	load  placer.Load
+	times placer.Times
+	// idleMS and loadedMS are the times by which the deadline is judged.
+	idleMS, loadedMS float64
+	// score is the cost by which upstreams are compared.
+	score float64
+}
+
+// weigh puts all that counts for an upstream on one scale, milliseconds of requests: the time to the
+// end of the answer there, by its queue and by what it has to read of the prompt, and the delay for
+// those beside, as often as an attempt has to be made. depths are the blocks of the prompt that
+// upstreams hold.
+func (s *State) weigh(u *upstream, a *ask, depths *placer.Depths) (w weighing) {
+	w.work = placer.Work{PromptTokens: a.PromptTokens, OutputTokens: s.outputEstimate(a)}
+	w.work.CachedTokens = max(
+		u.cacheAccuracy.expectedHits(int(depths[u.bit])*hasher.BlockTokens, a.PromptTokens), s.keptTokens(u, a),
+	)
+	w.load = u.load(s.now)
+	w.times = placer.PredictTimes(u.speed, w.load, w.work)
+	w.idleMS, w.loadedMS = s.deadlineTimes(u, a, w.work, w.load, w.times)
+	w.score = (w.times.EndMS + w.times.AddedDelayMS) * u.expectedAttempts()
+	return w
+}
+
 // deadlineTimes returns the times, in milliseconds, that the deadline of an ask
 // is judged by: on the idle upstream, and on the upstream under its current load.
 // Only measured values may lead to a refusal: a refused ask yields no measurement,
@@ -118,7 +139,12 @@
 
 // mayServe reports whether an upstream may serve the ask once it has room.
 func (s *State) mayServe(u *upstream, a *ask) bool {
-	return u.inService() && !slices.Contains(a.Excluded, u.Name) && !slices.Contains(a.Avoided, u.Name) && s.shares.permits(u.version, a)
+	return u.inService() && !a.excludes(u) && s.shares.permits(u.version, a)
+}
+
+// excludes reports whether an ask must not get an upstream by its own word.
+func (a *ask) excludes(u *upstream) bool {
+	return slices.Contains(a.Excluded, u.Name) || slices.Contains(a.Avoided, u.Name)
 }
 
 // hasRoom reports whether an upstream has room for the ask now.
@@ -207,7 +233,10 @@
 	s.index.Store(a.PrefixHashes, u.bit)
 	u.keeper.Use(s.now, a.Parts, a.PromptTokens+a.expectedOutput)
 	s.unconfirmed = append(s.unconfirmed, a)
-	s.emit(Grant{ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold, Foreign: u.foreign.count})
+	s.emit(Grant{
+		ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold,
+		Foreign: u.foreign.count, Running: u.running, FirstTokenMS: eval.bestTimes.FirstTokenMS, KeptTokens: a.cachedTokens,
+	})
 }
 
 // occupySlot counts an ask as running on an upstream.
--- a/operator/control.go
+++ b/operator/control.go
@@ -88,6 +88,7 @@
 		c.drainCommand(),
 		c.addressesCommand(),
 		c.auditCommand(),
+		c.explainCommand(),
 	}
 }
 
--- a/operator/main.go
+++ b/operator/main.go
@@ -1,11 +1,12 @@
 // Command yuccactl is the command-line client of the daemons' administration
 // API. Operators use it to read and change the configuration, to follow its
-// rollout and the moves, and to drain a daemon.
+// rollout and the moves, to drain a daemon, and to see where a request would go.
 //
 // Its exit status is 0 for success, 1 for a failure, 2 for invalid usage or
 // input, 3 when another operator changed the configuration in the meantime, 4
 // when the daemon refused a change or request, 5 when no daemon answered, and 6
-// when "diff" found differences.
+// when "diff" found differences. "explain" has the status 2 for a request that a
+// daemon can't make sense of, and 1 if the daemon can't be reached.
 package main
 
 import (
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -27,6 +27,9 @@
 	ErrConflict = errors.New("the configuration has changed since it was read")
 	// ErrRefused means that the daemon answered with a 4xx status other than 412.
 	ErrRefused = errors.New("refused")
+	// ErrInvalid means that the daemon could not make sense of the request, with the status 400 or 422.
+	// Such an error wraps ErrRefused too.
+	ErrInvalid = errors.New("invalid")
 )
 
 // Requester sends requests to one daemon. Its exported fields are set before use.
@@ -105,6 +108,9 @@
 	if res.StatusCode == http.StatusPreconditionFailed {
 		return fmt.Errorf("%w: %s", ErrConflict, problemText(body))
 	}
+	if res.StatusCode == http.StatusBadRequest || res.StatusCode == http.StatusUnprocessableEntity {
+		return fmt.Errorf("%w (%w): %s: %s", ErrRefused, ErrInvalid, res.Status, problemText(body))
+	}
 	if res.StatusCode/100 == 4 {
 		return fmt.Errorf("%w: %s: %s", ErrRefused, res.Status, problemText(body))
 	}
