--- a/daemon/follower/packing.go
+++ b/daemon/follower/packing.go
@@ -31,6 +31,7 @@
 // shrinks to a tenth: several peers fetch it at once, over links on which it would take longer than
 // a fetch may. The zero value is ready to use; it is not safe for concurrent use.
 type packer struct {
+	deflater deflater
 	// values holds the newest deflated value of each large row.
 	values map[rowID]packedValue
 }
@@ -44,7 +45,7 @@
 	if known, found := p.values[id]; found && known.version == row.Version {
 		return known.value
 	}
-	packed := deflate(row.Value)
+	packed := p.deflater.deflate(row.Value)
 	if p.values == nil {
 		p.values = map[rowID]packedValue{}
 	}
@@ -52,17 +53,21 @@
 	return packed
 }
 
-// deflaters holds writers for deflate, each of which allocates over half a megabyte.
-var deflaters = sync.Pool{New: func() any {
-	// A writer to memory fails only for an invalid level.
-	w, _ := flate.NewWriter(nil, flate.BestSpeed)
-	return w
-}}
+// deflater deflates data. It keeps its writers, each of which allocates over half a megabyte. The
+// zero value is ready to use, and safe for concurrent use.
+type deflater struct {
+	// writers holds *flate.Writer.
+	writers sync.Pool
+}
 
-func deflate(data []byte) []byte {
+func (d *deflater) deflate(data []byte) []byte {
+	w, found := d.writers.Get().(*flate.Writer)
+	if !found {
+		// A writer to memory fails only for an invalid level.
+		w, _ = flate.NewWriter(nil, flate.BestSpeed)
+	}
+	defer d.writers.Put(w)
 	var packed bytes.Buffer
-	w, _ := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(w)
 	w.Reset(&packed)
 	_, _ = w.Write(data)
 	_ = w.Close()
@@ -106,7 +111,7 @@
 // packRows deflates the rows of a reply together, if there are many. The rows of upstreams resemble
 // each other, and each daemon gets some of each upstream's renewals: in a large fleet they are
 // most of what daemons send to each other.
-func packRows(reply *wire.SyncReply) (err error) {
+func (d *deflater) packRows(reply *wire.SyncReply) (err error) {
 	if len(reply.GetRows()) < minPackedRows {
 		return nil
 	}
@@ -114,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	reply.Rows, reply.PackedRows = nil, deflate(data)
+	reply.Rows, reply.PackedRows = nil, d.deflate(data)
 	return nil
 }
 
--- a/daemon/follower/packing_test.go
+++ b/daemon/follower/packing_test.go
@@ -139,13 +139,14 @@
 // TestPackedRowsAreWhole guards against rows that change on their way, and against a reply that is
 // cut or without a bound.
 func TestPackedRowsAreWhole(t *testing.T) {
+	var d deflater
 	var rows []*wire.FollowedRow
 	for i := range 3000 {
 		rows = append(rows, &wire.FollowedRow{Table: "u", Key: fmt.Sprint(i), Value: []byte(upstreamRow(i, 1)), Version: int64(i + 1)})
 	}
 	reply := &wire.SyncReply{Rows: slices.Clone(rows)}
 	whole := proto.Size(reply)
-	if err := packRows(reply); err != nil {
+	if err := d.packRows(reply); err != nil {
 		t.Fatal(err)
 	}
 	packed := proto.Size(reply)
@@ -160,7 +161,7 @@
 	if err := unpackRows(reply); err != nil || !proto.Equal(reply, &wire.SyncReply{Rows: rows}) {
 		t.Errorf("%d rows, %v; %d wanted", len(reply.GetRows()), err, len(rows))
 	}
-	if unpackRows(&wire.SyncReply{PackedRows: deflate(make([]byte, maxUnpackedBytes+1))}) == nil {
+	if unpackRows(&wire.SyncReply{PackedRows: d.deflate(make([]byte, maxUnpackedBytes+1))}) == nil {
 		t.Error("a reply without a bound was taken")
 	}
 }
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -397,7 +397,7 @@
 func (f *Follower) reply(in *wire.SyncRequest) (out *wire.SyncReply, err error) {
 	out = f.buildReply(in)
 	if in.GetAcceptsPacked() {
-		err = packRows(out)
+		err = f.packer.deflater.packRows(out)
 	}
 	return out, err
 }
