Bound what a daemon holds for slow callers by the memory of its VM

Cause: bodies were admitted up to 96 MB whatever the VM had, and read into buffers that grow; a daemon with 96 MB took 137 MB for 250 callers that sent 1 MB each slowly, and refused all small requests meanwhile. Slots were kept while a slow caller took an answer, and beyond its time. Change: rationer hands out a quarter of memory_mb, three quarters of that to what is large; bodies that don't fit are refused before they are read, answers that don't fit are passed on as they come. A slot is free once the upstream has completed the answer; a caller may read until 2 s after its time limit.

--- a/daemon/duty_ingress.go
+++ b/daemon/duty_ingress.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"k8s.io/klog/v2"
 
@@ -22,6 +23,7 @@
 	"yuccaspread/daemon/explainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/rationer"
 	"yuccaspread/daemon/recorder"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/resolver"
@@ -33,6 +35,7 @@
 func ingressDuty() fx.Option {
 	return fx.Module("ingress",
 		fx.Provide(
+			newRationer,
 			newAdministrator,
 			newResolver,
 			newDrainer,
@@ -76,6 +79,11 @@
 	}
 }
 
+// newRationer returns the bound on what is held for requests, by the memory of the VM if that is set.
+func newRationer(s settings, registerer prometheus.Registerer) *rationer.Rationer {
+	return rationer.New(int64(rationer.MemoryFraction*s.MemoryMB*(1<<20)), registerer)
+}
+
 // routeRegistrar adds the routes of a duty to the router of the listening
 // socket. Duties provide it through the fx group "routes".
 type routeRegistrar func(router *mux.Router)
@@ -90,6 +98,7 @@
 	Resolver        *resolver.Resolver
 	Configurer      *configurer.Configurer
 	Drainer         *drainer.Drainer
+	Memory          *rationer.Rationer
 	RouteRegistrars []routeRegistrar `group:"routes"`
 }
 
@@ -106,7 +115,7 @@
 	for _, register := range params.RouteRegistrars {
 		register(router)
 	}
-	ingress := &listener.Listener{Source: params.Source, Clock: params.Clock, Handler: params.Handler}
+	ingress := &listener.Listener{Source: params.Source, Clock: params.Clock, Handler: params.Handler, Memory: params.Memory}
 	router.PathPrefix("/").Handler(params.Drainer.Handler(refuseUntilReady(params.Configurer.Ready, ingress)))
 	return router
 }
--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -112,17 +112,17 @@
 }
 
 // forwardBody forwards an answer without events. An answer below maxBufferedBytes
-// is read completely first; a larger one is forwarded as it arrives. A failure
-// that another attempt may replace is kept in r.failure.
+// is read completely first, and kept in r.ready until the slot is free; a larger one is
+// forwarded as it arrives. A failure that another attempt may replace is kept in r.failure.
 func (r *requestState) forwardBody(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, err error) {
-	buffered, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
+	buffered, whole, err := r.readBuffered(res)
 	if err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
 	watch.recordProgress()
 	slot.FirstToken(reserver.CachedUnknown)
 	r.recordFirstByte()
-	if len(buffered) == maxBufferedBytes {
+	if !whole {
 		return r.forwardLargeBody(ctx, res, buffered)
 	}
 	if r.endedWithUpstream(ctx, res) {
@@ -133,7 +133,36 @@
 		r.failure = full
 		return failed, fmt.Errorf("status %d", res.StatusCode)
 	}
-	return completed, full.write(r)
+	r.ready, r.status = full, full.status
+	return completed, nil
+}
+
+// readBuffered reads an answer up to maxBufferedBytes, or as far as there is memory for it, and
+// reports whether that is the whole answer.
+func (r *requestState) readBuffered(res *http.Response) (buffered []byte, whole bool, err error) {
+	step := chunkBytes
+	if res.ContentLength >= 0 && res.ContentLength < chunkBytes {
+		// One byte more than the answer, as a read without room finds no end.
+		step = int(res.ContentLength) + 1
+	}
+	for len(buffered) < maxBufferedBytes {
+		if len(buffered) == cap(buffered) {
+			if !r.Memory.Take(int64(step)) {
+				return buffered, false, nil
+			}
+			r.heldBytes += int64(step)
+			buffered = slices.Grow(buffered, step)
+		}
+		n, err := res.Body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		if errors.Is(err, io.EOF) {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return buffered, false, err
+		}
+	}
+	return buffered, false, nil
 }
 
 // forwardLargeBody forwards the buffered start of an answer and then the rest as
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/rationer"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/sender"
@@ -36,6 +37,8 @@
 	Attributor Attributor
 	// Registerer registers the metrics; nil registers none.
 	Registerer prometheus.Registerer
+	// Memory bounds the answers that are read whole before they are passed on; nil for no bound.
+	Memory *rationer.Rationer
 	// Stop tells of the planned stop; nil for a daemon whose stop has no time limit.
 	Stop Stop
 
@@ -60,6 +63,10 @@
 	// failure is an upstream's failure answer that the caller gets if no later
 	// attempt brings an answer.
 	failure *answer
+	// ready is the whole answer that the caller gets, nil if it gets it as it arrives.
+	ready *answer
+	// heldBytes is what was taken from Memory.
+	heldBytes int64
 	// lastUpstream names the upstream of the last attempt, and lastRun follows its work.
 	lastUpstream string
 	lastRun      *sender.Run
@@ -87,7 +94,11 @@
 	defer cancel()
 	runCtx, cancelRun := r.endBeforeCutoff(deadlineCtx, func() clock.Millis { return 0 })
 	defer cancelRun()
+	defer func() { r.Memory.Return(r.heldBytes) }()
 	err = r.runAttempts(runCtx)
+	if err == nil && r.ready != nil {
+		err = r.ready.write(r)
+	}
 	if err != nil && ctx.Err() == nil {
 		err = stopCause(runCtx, err)
 		err = r.resolveFailure(err)
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -23,6 +23,7 @@
 	"yuccaspread/daemon/forwarder"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/rationer"
 	"yuccaspread/daemon/refuser"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/resolver"
@@ -129,10 +130,10 @@
 	return attributorResult{Attributor: a, Spreader: s, Service: s.Register}
 }
 
-func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, a *attributor.Attributor, d *drainer.Drainer, registerer prometheus.Registerer) listener.Handler {
+func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, a *attributor.Attributor, d *drainer.Drainer, m *rationer.Rationer, registerer prometheus.Registerer) listener.Handler {
 	return &forwarder.Forwarder{
 		Source: source, Clock: c, Reserver: r, Sender: &sender.Sender{}, Protocol: translator.Protocol{},
-		Attributor: a, Stop: d, Registerer: registerer,
+		Attributor: a, Memory: m, Stop: d, Registerer: registerer,
 		Budget: &forwarder.Budget{
 			RetriesPerRequest: s.Hosted.RetryShare, ExtraRetries: s.Hosted.RetryExtra,
 			Daemons: func() int { return len(view.Members()) },
@@ -143,7 +144,7 @@
 // hostedIngressDuty serves callers and the platform's readiness checks.
 func hostedIngressDuty() fx.Option {
 	return fx.Module("ingress",
-		fx.Provide(newHostedResolver, newHostedDrainer),
+		fx.Provide(newHostedResolver, newHostedDrainer, newRationer),
 		fx.Invoke(limitMemory, serveHosted),
 	)
 }
@@ -202,6 +203,7 @@
 	Drainer   *drainer.Drainer
 	Registry  *prometheus.Registry
 	Explainer *explainer.Explainer
+	Memory    *rationer.Rationer
 }
 
 // serveHosted opens the listening sockets on start. On stop it still accepts
@@ -213,6 +215,7 @@
 	}
 	ingress := &listener.Listener{
 		Source: params.Follower, Clock: params.Clock, Handler: params.Handler, Head: translator.ParseHead, Refuse: translator.WriteRefusal,
+		Memory: params.Memory,
 	}
 	requestHandler := params.Drainer.Handler(refuseUnlessServing(params.Follower.Ready, params.Drainer.Closed, ingress))
 	metrics := http.NewServeMux()
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -3,10 +3,10 @@
 package listener
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -23,6 +23,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/classifier"
+	"yuccaspread/daemon/rationer"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -32,13 +33,13 @@
 	Handle(ctx context.Context, w http.ResponseWriter, req *classifier.Request) (err error)
 }
 
-// Limits for reading bodies.
+// Limits for reading bodies and for writing answers.
 const (
 	defaultBodyTimeout = 30 * clock.Second
-	// defaultMaxInFlightBytes bounds the total size of the bodies of requests in progress.
-	defaultMaxInFlightBytes = 96 << 20
-	// busyRetryAfter is the Retry-After time of a request that exceeds that bound.
+	// busyRetryAfter is the Retry-After time of a request whose body the daemon has no memory for.
 	busyRetryAfter = 1 * clock.Second
+	// writeGrace is how much longer than its time limit allows a caller may take to read its answer.
+	writeGrace = 2 * clock.Second
 )
 
 // Listener is an http.Handler. Its exported fields are set before use.
@@ -46,9 +47,8 @@
 	Source  inventory.Source
 	Clock   clock.Clock
 	Handler Handler
-	// MaxInFlightBytes bounds the total size of the bodies of requests in progress; 0
-	// stands for 96 MiB.
-	MaxInFlightBytes int64
+	// Memory bounds the bodies of requests in progress; nil for no bound.
+	Memory *rationer.Rationer
 	// BodyTimeout is the time within which a caller must send the body; 0 stands
 	// for 30 seconds.
 	BodyTimeout clock.Millis
@@ -59,9 +59,6 @@
 	Refuse func(w http.ResponseWriter, refusal *refuser.Refusal)
 
 	cachedClassifier atomic.Pointer[classifier.Classifier]
-	// inFlightBytes is the total size of the bodies of requests in progress. Bodies
-	// are admitted only while it does not exceed MaxInFlightBytes.
-	inFlightBytes atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
@@ -147,12 +144,18 @@
 	return l.handle(w, r, c.Complete(admission, head, body))
 }
 
-// handle adds the classification to the trace span and calls the handler.
+// handle adds the classification to the trace span and calls the handler, which may write until some
+// time after the request's deadline.
 func (l *Listener) handle(w *trackingWriter, r *http.Request, req *classifier.Request) (err error) {
 	trace.SpanFromContext(r.Context()).SetAttributes(
 		attribute.String("request_id", req.ID), attribute.String("organisation", req.Organisation),
 		attribute.String("route", req.Route), attribute.Int("tier", req.Tier),
 	)
+	// A caller that reads nothing, or little, would keep its goroutine, its slot and what is held
+	// for it.
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add((req.Deadline - l.Clock.Now() + writeGrace).Duration()))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	return l.Handler.Handle(r.Context(), w, req)
 }
 
@@ -165,43 +168,31 @@
 	if size < 0 || size > limit {
 		size = limit
 	}
-	if !l.reserveBytes(size) {
-		refusal := refuser.New(http.StatusServiceUnavailable, "busy", "too many bodies are held")
+	if !l.Memory.Take(size) {
+		refusal := refuser.New(http.StatusServiceUnavailable, "busy", "no memory for the body of the request")
 		refusal.RetryAfter = busyRetryAfter
 		return nil, nil, refusal
 	}
 	body, err = readBody(w, r, limit)
 	if err != nil {
-		l.inFlightBytes.Add(-size)
+		l.Memory.Return(size)
 		return nil, nil, err
 	}
 	// A body of unknown length was counted at the limit.
 	read := int64(len(body))
-	l.inFlightBytes.Add(read - size)
-	return body, func() { l.inFlightBytes.Add(-read) }, nil
-}
-
-// reserveBytes adds size to inFlightBytes and reports whether that stays within the
-// bound; otherwise it adds nothing.
-func (l *Listener) reserveBytes(size int64) bool {
-	bound := l.MaxInFlightBytes
-	if bound <= 0 {
-		bound = defaultMaxInFlightBytes
-	}
-	if l.inFlightBytes.Add(size) <= bound {
-		return true
-	}
-	l.inFlightBytes.Add(-size)
-	return false
+	l.Memory.Return(size - read)
+	return body, func() { l.Memory.Return(read) }, nil
 }
 
 // readBody reads the whole body of up to limit bytes and clears the read deadline. Any
 // error is a *refuser.Refusal.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, err error) {
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// One allocation of the stated length: a buffer that grows takes several times as much.
+	buffer := bytes.NewBuffer(make([]byte, 0, bytes.MinRead+max(0, min(r.ContentLength, limit))))
+	_, err = buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-		return body, nil
+		return buffer.Bytes(), nil
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/daemon/listener/listener_test.go
+++ b/daemon/listener/listener_test.go
@@ -16,6 +16,7 @@
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/listener"
+	"yuccaspread/daemon/rationer"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -49,7 +50,7 @@
 
 func startServer(t *testing.T, handle handlerFunc) *httptest.Server {
 	t.Helper()
-	server := httptest.NewServer(&listener.Listener{Source: config(), Clock: clock.System{}, Handler: handle, MaxInFlightBytes: 1500})
+	server := httptest.NewServer(&listener.Listener{Source: config(), Clock: clock.System{}, Handler: handle, Memory: &rationer.Rationer{MaxBytes: 1500}})
 	t.Cleanup(server.Close)
 	return server
 }
