--- a/daemon/explainer/explainer.go
+++ b/daemon/explainer/explainer.go
@@ -9,70 +9,14 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/reporter"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/reserver"
-	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
 )
 
-// Question describes a request. Only Route is needed.
-type Question struct {
-	Route        string `json:"route"`
-	Organisation string `json:"organisation,omitempty"`
-	// Pool is one of the route's pools; empty stands for the first one.
-	Pool         string `json:"pool,omitempty"`
-	PromptTokens int    `json:"prompt_tokens,omitempty"`
-	MaxTokens    int    `json:"max_tokens,omitempty"`
-	// Parts are the parts that the prompt shares with others, in order.
-	Parts []Part `json:"parts,omitempty"`
-	// TimeoutMS is the time until the caller's deadline; 0 stands for that of the route or its tier.
-	TimeoutMS clock.Millis `json:"timeout_ms,omitempty"`
-	// Excluded names upstreams on which earlier attempts have failed.
-	Excluded []string `json:"excluded,omitempty"`
-}
-
-// Part is a part of a prompt.
-type Part struct {
-	ID     string `json:"id"`
-	Tokens int    `json:"tokens"`
-}
-
-// Answer tells where the request would go now, as the asked daemon and the schedulers believe.
-type Answer struct {
-	Daemon   string `json:"daemon"`
-	Region   string `json:"region"`
-	Revision int64  `json:"revision"`
-
-	Route        string       `json:"route"`
-	Organisation string       `json:"organisation,omitempty"`
-	Pool         string       `json:"pool"`
-	Tier         int          `json:"tier"`
-	Homes        []string     `json:"homes,omitempty"`
-	DeadlineMS   clock.Millis `json:"deadline_ms"`
-	ObjectiveMS  clock.Millis `json:"objective_ms,omitempty"`
-
-	// Upstream is the one that the request would go to now, empty if it would wait or be refused;
-	// Outcome says which in a sentence.
-	Upstream string       `json:"upstream,omitempty"`
-	Verdict  string       `json:"verdict"`
-	Outcome  string       `json:"outcome"`
-	RetryMS  clock.Millis `json:"retry_after_ms,omitempty"`
-	// Shards are those that would be asked, in this order; the first one that does not refuse decides.
-	Shards []Shard `json:"shards"`
-}
-
-// Shard is what the scheduler of one shard says.
-type Shard struct {
-	Shard     string `json:"shard"`
-	Region    string `json:"region"`
-	Scheduler string `json:"scheduler,omitempty"`
-	// Error is set if its scheduler could not be asked.
-	Error string `json:"error,omitempty"`
-	*scheduler.Explanation
-}
-
 // Explainer answers questions. Its exported fields are set before use.
 type Explainer struct {
 	Source   inventory.Source
@@ -81,7 +25,7 @@
 	Clock    clock.Clock
 	Remote   *reserver.Remote
 	// Ask asks a scheduler about an ask.
-	Ask func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (scheduler.Explanation, error)
+	Ask func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (reporter.Explanation, error)
 }
 
 // QuestionError is a mistake in a question.
@@ -94,7 +38,7 @@
 const maxParts = 256
 
 // request returns the classified request of a question, or a *QuestionError.
-func (x *Explainer) request(config *inventory.Config, q Question) (req *classifier.Request, err error) {
+func (x *Explainer) request(config *inventory.Config, q reporter.Question) (req *classifier.Request, err error) {
 	route, found := inventory.Lookup(config.Routes, q.Route)
 	if !found {
 		return nil, &QuestionError{"route", fmt.Sprintf("there is no route %q in revision %d", q.Route, config.Revision)}
@@ -138,17 +82,17 @@
 }
 
 // Explain answers a question. The error is a *QuestionError or the context's.
-func (x *Explainer) Explain(ctx context.Context, q Question) (a Answer, err error) {
+func (x *Explainer) Explain(ctx context.Context, q reporter.Question) (a reporter.Answer, err error) {
 	config := x.Source.Current()
 	req, err := x.request(config, q)
 	if err != nil {
 		return a, err
 	}
 	self := x.View.Self()
-	a = Answer{
+	a = reporter.Answer{
 		Daemon: self.Name, Region: self.Region, Revision: config.Revision, Route: req.Route, Organisation: req.Organisation, Pool: req.Pool,
 		Tier: req.Tier, DeadlineMS: req.Deadline - req.Arrived, ObjectiveMS: req.LatencyObjective, Homes: homesOf(config, req),
-		Verdict: string(scheduler.VerdictRefuse), Outcome: "no upstream of its pool lies where it may run",
+		Verdict: string(reporter.VerdictRefuse), Outcome: "no upstream of its pool lies where it may run",
 	}
 	if req.Homes.Empty() {
 		a.Outcome = "the homes of its route and of its organisation have no region in common"
@@ -162,26 +106,26 @@
 			return a, ctx.Err()
 		}
 		if !decided {
-			decided = a.decide(explained)
+			decided = decide(&a, explained)
 		}
 	}
 	return a, nil
 }
 
 // decide takes what a shard says as the outcome, and reports whether no other shard would be asked.
-func (a *Answer) decide(s Shard) (final bool) {
+func decide(a *reporter.Answer, s reporter.Shard) (final bool) {
 	switch {
 	case s.Explanation == nil:
 		a.Outcome = fmt.Sprintf("the scheduler of %s can't be asked (%s); the daemon would use its own share of the slots", s.Shard, s.Error)
 		return false
-	case s.Verdict == scheduler.VerdictRefuse:
+	case s.Verdict == reporter.VerdictRefuse:
 		a.Verdict, a.Outcome, a.RetryMS = string(s.Verdict), fmt.Sprintf("refused by %s: %s", s.Shard, s.Reason), s.RetryAfter
 		return false
-	case s.Verdict == scheduler.VerdictWait:
+	case s.Verdict == reporter.VerdictWait:
 		a.Verdict, a.Outcome, a.RetryMS = string(s.Verdict), fmt.Sprintf("waits at %s behind %d others, some %.0f ms", s.Shard, s.Waiting, s.WaitMS), 0
 		return true
 	}
-	chosen := slices.IndexFunc(s.Candidates, func(c scheduler.Candidate) bool { return c.Chosen })
+	chosen := slices.IndexFunc(s.Candidates, func(c reporter.Candidate) bool { return c.Chosen })
 	a.Verdict, a.RetryMS = string(s.Verdict), 0
 	if chosen >= 0 {
 		a.Upstream = s.Candidates[chosen].Upstream
@@ -191,8 +135,8 @@
 }
 
 // explainShard asks the scheduler of a shard.
-func (x *Explainer) explainShard(ctx context.Context, req *classifier.Request, shard sharder.Shard, excluded []string) (s Shard) {
-	s = Shard{Shard: shard.ID, Region: shard.Region}
+func (x *Explainer) explainShard(ctx context.Context, req *classifier.Request, shard sharder.Shard, excluded []string) (s reporter.Shard) {
+	s = reporter.Shard{Shard: shard.ID, Region: shard.Region}
 	member, found := x.Assigner.Current().Scheduler(shard.ID)
 	if !found {
 		s.Error = "no daemon schedules it"
@@ -210,9 +154,9 @@
 }
 
 // compareCandidates orders those without an obstacle first, the cheapest first.
-func compareCandidates(a, b scheduler.Candidate) int {
-	free := func(c scheduler.Candidate) int {
-		if c.Obstacle == scheduler.ObstacleNone {
+func compareCandidates(a, b reporter.Candidate) int {
+	free := func(c reporter.Candidate) int {
+		if c.Obstacle == reporter.ObstacleNone {
 			return 0
 		}
 		return 1
--- a/daemon/explainer/handler.go
+++ b/daemon/explainer/handler.go
@@ -8,12 +8,12 @@
 	"net/http"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/reporter"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/granter"
 	"yuccaspread/daemon/refuser"
-	"yuccaspread/daemon/scheduler"
 )
 
 const (
@@ -34,7 +34,7 @@
 func (x *Explainer) ServeAs(w http.ResponseWriter, r *http.Request, mayAsk func(organisation string) bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout.Duration())
 	defer cancel()
-	var question Question
+	var question reporter.Question
 	decoder := json.NewDecoder(io.LimitReader(r.Body, maxQuestionBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&question); err != nil {
@@ -60,8 +60,8 @@
 
 // NewAskFunc returns a function that asks the schedulers of this daemon directly and those of others
 // over drpc.
-func NewAskFunc(self string, g *granter.Granter, peers *connector.Connector) func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (scheduler.Explanation, error) {
-	return func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (e scheduler.Explanation, err error) {
+func NewAskFunc(self string, g *granter.Granter, peers *connector.Connector) func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (reporter.Explanation, error) {
+	return func(ctx context.Context, to gossiper.Member, ask *wire.Ask) (e reporter.Explanation, err error) {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
 		defer cancel()
 		if to.Name == self {
--- a/daemon/granter/explain.go
+++ b/daemon/granter/explain.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/reporter"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/scheduler"
 )
@@ -13,7 +14,7 @@
 // Explainer is a Decider that tells what it would decide.
 type Explainer interface {
 	// Explain returns what would become of an ask that came now, and changes nothing.
-	Explain(now clock.Millis, m scheduler.Ask) scheduler.Explanation
+	Explain(now clock.Millis, m scheduler.Ask) reporter.Explanation
 }
 
 // ErrNotScheduler is returned for a shard that another daemon schedules.
@@ -22,7 +23,7 @@
 // explainRequest asks a runner to explain an ask. explained has room for one explanation.
 type explainRequest struct {
 	ask       scheduler.Ask
-	explained chan scheduler.Explanation
+	explained chan reporter.Explanation
 }
 
 // explain answers a request. It runs on the goroutine of the shard, between two decisions.
@@ -35,13 +36,13 @@
 
 // Explain returns what the scheduler of the ask's shard would do with it now. The error is
 // ErrNotScheduler if that is another daemon, or the context's.
-func (g *Granter) Explain(ctx context.Context, ask *wire.Ask) (e scheduler.Explanation, err error) {
+func (g *Granter) Explain(ctx context.Context, ask *wire.Ask) (e reporter.Explanation, err error) {
 	g.prepare()
 	r := g.runner(ask.GetShard())
 	if r == nil {
 		return e, ErrNotScheduler
 	}
-	request := &explainRequest{ask: toAsk("", g.Clock.Now(), ask), explained: make(chan scheduler.Explanation, 1)}
+	request := &explainRequest{ask: toAsk("", g.Clock.Now(), ask), explained: make(chan reporter.Explanation, 1)}
 	if err = r.inputs.Push(ctx, input{explain: request}); err != nil {
 		return e, err
 	}
--- a/daemon/recorder/scheduling.go
+++ b/daemon/recorder/scheduling.go
@@ -2,6 +2,7 @@
 
 import (
 	"yuccaspread/common/clock"
+	"yuccaspread/common/reporter"
 	"yuccaspread/daemon/scheduler"
 )
 
@@ -22,6 +23,6 @@
 }
 
 // Explain implements granter.Explainer. It is not recorded, as it changes nothing.
-func (s *RecordedScheduler) Explain(now clock.Millis, m scheduler.Ask) scheduler.Explanation {
+func (s *RecordedScheduler) Explain(now clock.Millis, m scheduler.Ask) reporter.Explanation {
 	return s.State.Explain(now, m)
 }
--- a/daemon/scheduler/explain_test.go
+++ b/daemon/scheduler/explain_test.go
@@ -6,6 +6,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/reporter"
 	"yuccaspread/daemon/scheduler"
 )
 
@@ -41,9 +42,9 @@
 		if other := twin.granted[asked.ID.Number]; other != upstream {
 			t.Errorf("%s: granted %q after an explanation, %q without one", name, upstream, other)
 		}
-		want := map[bool]scheduler.Verdict{true: scheduler.VerdictGrant, false: scheduler.VerdictWait}[granted]
+		want := map[bool]reporter.Verdict{true: reporter.VerdictGrant, false: reporter.VerdictWait}[granted]
 		if refused {
-			want = scheduler.VerdictRefuse
+			want = reporter.VerdictRefuse
 		}
 		if explained.Verdict != want {
 			t.Errorf("%s: explained as %s (%s), was %s", name, explained.Verdict, explained.Reason, want)
@@ -53,7 +54,7 @@
 			if c.Chosen {
 				chosen = c.Upstream
 			}
-			if c.Chosen && c.Obstacle != scheduler.ObstacleNone {
+			if c.Chosen && c.Obstacle != reporter.ObstacleNone {
 				t.Errorf("%s: %s is chosen and has the obstacle %q", name, c.Upstream, c.Obstacle)
 			}
 		}
@@ -84,7 +85,7 @@
 // TestObstaclesAreNamed guards against an upstream that gets nothing without a reason that is shown.
 func TestObstaclesAreNamed(t *testing.T) {
 	h := newPlaces()
-	obstacle := func(ask scheduler.Ask, upstream string) scheduler.Obstacle {
+	obstacle := func(ask scheduler.Ask, upstream string) reporter.Obstacle {
 		for _, c := range h.Explain(h.now, ask).Candidates {
 			if c.Upstream == upstream {
 				return c.Obstacle
@@ -93,29 +94,29 @@
 		return "not there"
 	}
 	ask := h.newAsk(1, 0)
-	check := func(when string, ask scheduler.Ask, want scheduler.Obstacle) {
+	check := func(when string, ask scheduler.Ask, want reporter.Obstacle) {
 		t.Helper()
 		if got := obstacle(ask, "u0"); got != want {
 			t.Errorf("%s: %q, want %q", when, got, want)
 		}
 	}
-	check("idle", ask, scheduler.ObstacleNone)
+	check("idle", ask, reporter.ObstacleNone)
 	excluded := ask
 	excluded.Excluded = []string{"u0"}
-	check("excluded", excluded, scheduler.ObstacleExcluded)
+	check("excluded", excluded, reporter.ObstacleExcluded)
 	h.sendRules("d0")
-	check("evacuated", ask, scheduler.ObstacleEvacuated)
+	check("evacuated", ask, reporter.ObstacleEvacuated)
 	h.sendRules()
 	h.countGrants(200)
-	check("cold after the evacuation", ask, scheduler.ObstacleCold)
+	check("cold after the evacuation", ask, reporter.ObstacleCold)
 	h.advance(10 * clock.Second)
 	h.send(scheduler.Health{Upstream: "u0"})
-	check("down", ask, scheduler.ObstacleDown)
+	check("down", ask, reporter.ObstacleDown)
 	h.send(scheduler.Health{Upstream: "u0", Up: true})
 	h.advance(10 * clock.Second)
 	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Limited: true, Limit: 0})
-	check("limit", ask, scheduler.ObstacleLimit)
+	check("limit", ask, reporter.ObstacleLimit)
 	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now})
 	h.send(scheduler.Upstreams{List: []inventory.Upstream{{Name: "u0", Slots: 4, Leaving: true}, {Name: "u1", Slots: 4}}})
-	check("leaving", ask, scheduler.ObstacleLeaving)
+	check("leaving", ask, reporter.ObstacleLeaving)
 }
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -16,81 +16,15 @@
 
 	"github.com/integrii/flaggy"
 
+	"yuccaspread/common/reporter"
 	"yuccaspread/operator/requester"
 )
 
 // errUnreachableDaemon has the exit status of a failure, as this command promises.
 var errUnreachableDaemon = errors.New("the daemon can't be reached")
 
-// question describes a request; empty fields are left out.
-type question struct {
-	Route        string         `json:"route"`
-	Organisation string         `json:"organisation,omitempty"`
-	Pool         string         `json:"pool,omitempty"`
-	PromptTokens int            `json:"prompt_tokens,omitempty"`
-	MaxTokens    int            `json:"max_tokens,omitempty"`
-	Parts        []questionPart `json:"parts,omitempty"`
-	TimeoutMS    int64          `json:"timeout_ms,omitempty"`
-	Excluded     []string       `json:"excluded,omitempty"`
-}
-
-type questionPart struct {
-	ID     string `json:"id"`
-	Tokens int    `json:"tokens"`
-}
-
 // explanation is a daemon's answer to a question.
-type explanation struct {
-	Daemon       string   `json:"daemon"`
-	Region       string   `json:"region"`
-	Revision     int64    `json:"revision"`
-	Route        string   `json:"route"`
-	Organisation string   `json:"organisation,omitempty"`
-	Pool         string   `json:"pool"`
-	Tier         int      `json:"tier"`
-	Homes        []string `json:"homes,omitempty"`
-	DeadlineMS   int64    `json:"deadline_ms"`
-	ObjectiveMS  int64    `json:"objective_ms,omitempty"`
-	Upstream     string   `json:"upstream,omitempty"`
-	Verdict      string   `json:"verdict"`
-	Outcome      string   `json:"outcome"`
-	RetryMS      int64    `json:"retry_after_ms,omitempty"`
-	Shards       []struct {
-		Shard          string      `json:"shard"`
-		Region         string      `json:"region"`
-		Scheduler      string      `json:"scheduler,omitempty"`
-		Error          string      `json:"error,omitempty"`
-		Verdict        string      `json:"verdict,omitempty"`
-		Reason         string      `json:"reason,omitempty"`
-		RetryMS        int64       `json:"retry_after_ms,omitempty"`
-		Waiting        int         `json:"waiting"`
-		WaitMS         float64     `json:"wait_ms"`
-		ExpectedOutput int         `json:"expected_output_tokens,omitempty"`
-		Candidates     []candidate `json:"candidates"`
-	} `json:"shards"`
-}
-
-type candidate struct {
-	Upstream      string  `json:"upstream"`
-	FailureDomain string  `json:"failure_domain,omitempty"`
-	Version       string  `json:"version,omitempty"`
-	Obstacle      string  `json:"obstacle,omitempty"`
-	Chosen        bool    `json:"chosen,omitempty"`
-	Score         float64 `json:"score"`
-	PrefillMS     float64 `json:"prefill_ms"`
-	FirstTokenMS  float64 `json:"first_token_ms"`
-	EndMS         float64 `json:"end_ms"`
-	AddedDelayMS  float64 `json:"added_delay_ms"`
-	Running       int     `json:"running"`
-	Foreign       int     `json:"foreign,omitempty"`
-	Slots         int     `json:"slots"`
-	Tokens        int     `json:"tokens,omitempty"`
-	MemoryTokens  int     `json:"memory_tokens,omitempty"`
-	KeptTokens    int     `json:"kept_tokens,omitempty"`
-	KeptAgeMS     int64   `json:"kept_age_ms,omitempty"`
-	FailureRate   float64 `json:"failure_rate,omitempty"`
-	MeasuredAgeMS int64   `json:"measured_age_ms"`
-}
+type explanation struct{ reporter.Answer }
 
 // Header implements printer.Tabular.
 func (explanation) Header() []string {
@@ -104,7 +38,7 @@
 			rows = append(rows, []string{"", s.Shard, "scheduler " + s.Scheduler + ": " + s.Error})
 		}
 		for _, c := range s.Candidates {
-			choice := c.Obstacle
+			choice := string(c.Obstacle)
 			switch {
 			case c.Chosen && c.Upstream == e.Upstream:
 				choice = "chosen"
@@ -129,7 +63,7 @@
 // it did.
 func (c *cli) explainCommand() command {
 	sub := flaggy.NewSubcommand("explain")
-	var q question
+	var q reporter.Question
 	var file, id, parts string
 	var logs []string
 	sub.String(&q.Route, "r", "route", "route of the request")
@@ -138,7 +72,7 @@
 	sub.Int(&q.PromptTokens, "n", "prompt-tokens", "length of the prompt")
 	sub.Int(&q.MaxTokens, "m", "max-tokens", "limit of the answer")
 	sub.String(&parts, "k", "parts", "parts that the prompt shares with others, as ID:TOKENS,ID:TOKENS")
-	sub.Int64(&q.TimeoutMS, "d", "timeout-ms", "time until the caller's deadline")
+	sub.Int64((*int64)(&q.TimeoutMS), "d", "timeout-ms", "time until the caller's deadline")
 	sub.StringSlice(&q.Excluded, "x", "exclude", "upstreams on which earlier attempts failed")
 	sub.String(&file, "f", "file", "JSON file with the request instead of the flags; - for standard input")
 	sub.String(&id, "i", "id", "id of a request that has been; its lines are read from --log")
@@ -162,7 +96,7 @@
 	}}
 }
 
-func (c *cli) explain(ctx context.Context, q question) (err error) {
+func (c *cli) explain(ctx context.Context, q reporter.Question) (err error) {
 	var e explanation
 	err = c.api.Call(ctx, http.MethodPost, "/v1/admin/explain", q, &e)
 	var unreachable *url.Error
@@ -197,7 +131,7 @@
 }
 
 // appendParts appends parts of the form ID:TOKENS, separated by commas.
-func appendParts(list []questionPart, text string) ([]questionPart, error) {
+func appendParts(list []reporter.Part, text string) ([]reporter.Part, error) {
 	for part := range strings.SplitSeq(text, ",") {
 		if part == "" {
 			continue
@@ -207,12 +141,12 @@
 		if err != nil || id == "" || tokens < 0 {
 			return nil, fmt.Errorf("%w: --parts must be ID:TOKENS, separated by commas, got %q", errUsage, part)
 		}
-		list = append(list, questionPart{id, tokens})
+		list = append(list, reporter.Part{ID: id, Tokens: tokens})
 	}
 	return list, nil
 }
 
-func readQuestion(name string) (q question, err error) {
+func readQuestion(name string) (q reporter.Question, err error) {
 	in, err := open(name)
 	if err != nil {
 		return q, fmt.Errorf("%w: %s", errUsage, err.Error())
