--- a/daemon/scheduler/cold.go
+++ b/daemon/scheduler/cold.go
@@ -24,16 +24,16 @@
 // granted at different times arrive together.
 const coldMargin = 1
 
-// hasSecond reports whether the upstream got fewer than a number of requests in the last second.
-func (c *coldState) hasSecond(now clock.Millis, most int) bool {
+// fitsInSecond reports whether the upstream may get one more request, where most may come in any second.
+func (c *coldState) fitsInSecond(now clock.Millis, most int) bool {
 	if len(c.latest) != max(most-coldMargin, 1) {
 		return true
 	}
 	return now-c.latest[c.next] >= clock.Second
 }
 
-// takeSecond counts a request among the latest ones, of which it keeps as many as may come in a second.
-func (c *coldState) takeSecond(now clock.Millis, most int) {
+// countInSecond counts a request among the latest ones, of which as many are kept as may come in a second.
+func (c *coldState) countInSecond(now clock.Millis, most int) {
 	if most = max(most-coldMargin, 1); len(c.latest) != most {
 		c.latest, c.next = slices.Repeat([]clock.Millis{now - clock.Second}, most), 0
 	}
@@ -97,7 +97,7 @@
 	if s.now < u.cold.until && !u.cold.allowance.Has() {
 		return false
 	}
-	return limit.MaxInSecond == 0 || u.cold.hasSecond(s.now, limit.MaxInSecond)
+	return limit.MaxInSecond == 0 || u.cold.fitsInSecond(s.now, limit.MaxInSecond)
 }
 
 // takeCold counts a request that an upstream gets. What a warm one gets counts for the time in
@@ -108,7 +108,7 @@
 		return
 	}
 	if limit.MaxInSecond > 0 {
-		u.cold.takeSecond(s.now, limit.MaxInSecond)
+		u.cold.countInSecond(s.now, limit.MaxInSecond)
 	}
 	if u.cold.allowance.Has() {
 		u.cold.allowance.Take()
