Tell on the demo's system why a request went where it went

make demo-explain asks where a question would go now, and reads from the logs why the last one went where it did. The own API's path logs each choice with its terms, as the users' path did; the scripts keep what programs write to standard output, where logs go.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WITHOUT_RACE := $(if $(filter arm64,$(shell go env GOARCH)),yuccaspread/daemon/granter)
 TEST_FLAGS = -count=1 $(if $(SKIP),-skip '$(SKIP)') $(if $(RUN),-run '$(RUN)')
 
-.PHONY: build demo measure capacity test soak soak-hosted model lint format check-format generate
+.PHONY: build demo demo-explain measure capacity test soak soak-hosted model lint format check-format generate
 
 build:
 	go build -ldflags '$(LDFLAGS)' -o bin/yuccaspread ./daemon
@@ -18,6 +18,10 @@
 demo: build
 	@scripts/demo
 
+# The demo, and why its requests go where they go.
+demo-explain: build
+	@scripts/demo explain
+
 # SKIP leaves out the tests that match; RUN runs only those.
 test:
 	$(if $(WITHOUT_RACE),go test $(TEST_FLAGS) $(WITHOUT_RACE))
--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -79,6 +79,7 @@
 		if err != nil {
 			return err
 		}
+		r.recordChoice(slot, number)
 		state, err := r.attempt(ctx, slot, number)
 		if errors.Is(err, claimer.ErrTaken) {
 			return r.joinOtherHolder(ctx)
@@ -90,6 +91,15 @@
 	return r.lastErr
 }
 
+// recordChoice logs which upstream an attempt goes to, and on which terms it was chosen.
+func (r *requestState) recordChoice(slot reserver.Slot, attempt int) {
+	terms := reserver.TermsOf(slot)
+	klog.InfoS("upstream chosen", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, "route", r.req.Route, "tier", r.req.Tier,
+		logger.KeyUpstream, slot.Upstream().Name, "attempt", attempt, "waited_ms", r.Clock.Now()-r.req.Arrived, "scheduler", terms.Scheduler,
+		"shard", terms.Shard, "chosen_running", terms.Running, "chosen_first_ms", terms.FirstToken, "chosen_kept_tokens", terms.KeptTokens,
+		"revision", r.Source.Current().Revision)
+}
+
 // shouldRetry records the failed attempt and reports whether another one follows.
 func (r *requestState) shouldRetry(ctx context.Context, slot reserver.Slot, state State, err error) bool {
 	klog.ErrorS(err, "attempt failed", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, logger.KeyUpstream, slot.Upstream().Name, "state", state.String())
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -120,7 +120,7 @@
 				return err
 			}
 		}
-		r.grantedAt, r.terms = r.Clock.Now(), termsOf(slot)
+		r.grantedAt, r.terms = r.Clock.Now(), reserver.TermsOf(slot)
 		r.lastUpstream, r.lastRun = slot.Upstream().Name, &sender.Run{}
 		var end attemptEnd
 		end, replacement, err = r.attempt(ctx, slot)
@@ -323,14 +323,6 @@
 	return ""
 }
 
-// termsOf returns the terms on which a slot's upstream was chosen.
-func termsOf(slot reserver.Slot) (terms reserver.Terms) {
-	if chosen, told := slot.(interface{ Terms() reserver.Terms }); told {
-		terms = chosen.Terms()
-	}
-	return terms
-}
-
 // homes returns the home regions of the request's route and organisation in force, "" if it is
 // bound by none.
 func (r *requestState) homes() string {
--- a/daemon/reserver/reserver.go
+++ b/daemon/reserver/reserver.go
@@ -75,6 +75,14 @@
 	KeptTokens int
 }
 
+// TermsOf returns the terms on which a slot's upstream was chosen.
+func TermsOf(slot Slot) (terms Terms) {
+	if chosen, told := slot.(interface{ Terms() Terms }); told {
+		terms = chosen.Terms()
+	}
+	return terms
+}
+
 // Reserver provides slots.
 type Reserver interface {
 	// Reserve waits for a slot on an upstream that is not excluded. The error is
