--- a/daemon/granter/told_load_test.go
+++ b/daemon/granter/told_load_test.go
@@ -21,7 +21,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newLimitedFleet(ctx, 12, upstreams, 2*upstreams*slots/workTime.Seconds(), region)
+				f.mu.Lock()
 				f.tellsLoad = tells
+				f.mu.Unlock()
 				time.Sleep(8 * time.Second)
 				f.split(parts)
 				time.Sleep(deathNotice + 4*time.Second)
