Let daemons that were killed in a test send nothing more

A trial that noted the sender of each request shows five requests at 9.402 s from the daemon that was killed at 9.400 s, by its local share: once its context has ended, Reserve's choice between a slot and the end is random, and the fleet of the test sent what a killed process can't send. Change: the fleet of the test sends nothing for a killed daemon. Conclusion: a fault of the test, not of the product.

--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -264,7 +264,8 @@
 	if err != nil {
 		return
 	}
-	if !slot.Confirm() {
+	// A daemon that was killed meanwhile sends nothing, whatever its goroutines still get.
+	if n.ctx.Err() != nil || !slot.Confirm() {
 		slot.End(reserver.Usage{Outcome: reserver.NotSent, NotRun: true})
 		return
 	}
