Don't cut answers that go on after the deadline of their request

Cause: bounded all writes of the listener by the deadline of the request and 2 s. On our own API an answer may go on after it, for up to 15 minutes, and ready answers are delivered late on both paths; no test saw that they were cut. Change: the bound stands in forwarder, only for what keeps a slot, and only once the time of the request has passed; a ready answer has none. Without a stated memory, large bodies may take all of the bound again, as before. What has no memory is logged with its request. TestLateAnswerIsWhole, failing before: 24 of 48 bytes and an unexpected end; after: all. TestHostedStalledCallersKeepNoSlots and TestHostedBodiesStayWithinTheMemory (48 MB of 96) pass as before.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -148,6 +148,8 @@
 	for len(buffered) < maxBufferedBytes {
 		if len(buffered) == cap(buffered) {
 			if !r.Memory.Take(int64(step)) {
+				klog.InfoS("no memory to read an answer whole; it is passed on as it comes", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream,
+					"read_bytes", len(buffered), "held_bytes", r.Memory.Held())
 				return buffered, false, nil
 			}
 			r.heldBytes += int64(step)
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -247,6 +247,7 @@
 	if !found || upstream.Leaving || !slot.Confirm() {
 		return notSent, nil, errUpstreamUnavailable
 	}
+	requestCtx := ctx
 	ctx, span := otel.Tracer("forwarder").Start(ctx, "attempt")
 	defer span.End()
 	span.SetAttributes(attribute.String("upstream", upstream.Name))
@@ -267,6 +268,7 @@
 		return unanswered, nil, withCause(ctx, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	defer r.endWritesAfter(requestCtx)()
 	e, events, err := r.handleResponse(ctx, res, slot, watch)
 	usage = r.slotUsage(ctx, e, events)
 	return e, nil, withCause(ctx, err)
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -33,13 +33,11 @@
 	Handle(ctx context.Context, w http.ResponseWriter, req *classifier.Request) (err error)
 }
 
-// Limits for reading bodies and for writing answers.
+// Limits for reading bodies.
 const (
 	defaultBodyTimeout = 30 * clock.Second
 	// busyRetryAfter is the Retry-After time of a request whose body the daemon has no memory for.
 	busyRetryAfter = 1 * clock.Second
-	// writeGrace is how much longer than its time limit allows a caller may take to read its answer.
-	writeGrace = 2 * clock.Second
 )
 
 // Listener is an http.Handler. Its exported fields are set before use.
@@ -144,31 +142,27 @@
 	return l.handle(w, r, c.Complete(admission, head, body))
 }
 
-// handle adds the classification to the trace span and calls the handler, which may write until some
-// time after the request's deadline.
+// handle adds the classification to the trace span and calls the handler.
 func (l *Listener) handle(w *trackingWriter, r *http.Request, req *classifier.Request) (err error) {
 	trace.SpanFromContext(r.Context()).SetAttributes(
 		attribute.String("request_id", req.ID), attribute.String("organisation", req.Organisation),
 		attribute.String("route", req.Route), attribute.Int("tier", req.Tier),
 	)
-	// A caller that reads nothing, or little, would keep its goroutine, its slot and what is held
-	// for it.
-	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add((req.Deadline - l.Clock.Now() + writeGrace).Duration()))
-	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	return l.Handler.Handle(r.Context(), w, req)
 }
 
 // readBounded reads the body within the limits on its own size and on the total of
 // all bodies. The caller calls release when the body is no longer used. Any error is
 // a *refuser.Refusal.
-func (l *Listener) readBounded(w http.ResponseWriter, r *http.Request) (body []byte, release func(), err error) {
+func (l *Listener) readBounded(w *trackingWriter, r *http.Request) (body []byte, release func(), err error) {
 	limit := l.Source.Current().Limits.WithDefaults().BodyBytes
 	size := r.ContentLength
 	if size < 0 || size > limit {
 		size = limit
 	}
 	if !l.Memory.Take(size) {
+		klog.InfoS("no memory for the body of a request", logger.KeyRequest, w.id, logger.KeyOrganisation, w.organisation, "bytes", size,
+			"stated", r.ContentLength >= 0, "held_bytes", l.Memory.Held())
 		refusal := refuser.New(http.StatusServiceUnavailable, "busy", "no memory for the body of the request")
 		refusal.RetryAfter = busyRetryAfter
 		return nil, nil, refusal
--- a/daemon/listener/slow_test.go
+++ b/daemon/listener/slow_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/listener"
 )
 
@@ -42,3 +46,28 @@
 		}
 	}
 }
+
+// TestLateAnswerIsWhole guards against an answer that is cut because it goes on, or its caller reads it,
+// after the deadline of the request.
+func TestLateAnswerIsWhole(t *testing.T) {
+	const pieces, deadline, pause = 8, 50 * time.Millisecond, 500 * time.Millisecond
+	server := startServer(t, func(w http.ResponseWriter, _ *classifier.Request) error {
+		for range pieces {
+			time.Sleep(pause)
+			if _, err := w.Write([]byte("piece ")); err != nil {
+				return err
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+		return nil
+	})
+	res, err := post(t, server, "/v1/completions", `{"model":"guide"}`, "X-Request-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || string(body) != strings.Repeat("piece ", pieces) {
+		t.Errorf("%d bytes after the deadline, %v", len(body), err)
+	}
+}
--- a/daemon/rationer/rationer.go
+++ b/daemon/rationer/rationer.go
@@ -24,7 +24,8 @@
 // Rationer hands out the memory for requests in progress. Its exported fields are set before use; it
 // is safe for concurrent use, and a nil Rationer has no bound.
 type Rationer struct {
-	// MaxBytes bounds what is held; 0 stands for 96 MiB.
+	// MaxBytes bounds what is held, as the memory of the VM allows; 0 stands for 96 MiB, of which
+	// large amounts may take all.
 	MaxBytes int64
 
 	held    atomic.Int64
@@ -38,7 +39,7 @@
 	})}
 	registerer.MustRegister(r.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "yuccaspread_held_bytes", Help: "Bytes of bodies and answers that are held for requests in progress.",
-	}, func() float64 { return float64(r.held.Load()) }))
+	}, func() float64 { return float64(r.Held()) }))
 	return r
 }
 
@@ -49,10 +50,10 @@
 		return true
 	}
 	bound := r.MaxBytes
-	if bound <= 0 {
+	switch {
+	case bound <= 0:
 		bound = defaultMaxBytes
-	}
-	if bytes >= largeBytes {
+	case bytes >= largeBytes:
 		bound -= int64(smallFraction * float64(bound))
 	}
 	if r.held.Add(bytes) <= bound {
@@ -65,6 +66,14 @@
 	return false
 }
 
+// Held returns the bytes that are held now.
+func (r *Rationer) Held() int64 {
+	if r == nil {
+		return 0
+	}
+	return r.held.Load()
+}
+
 // Return gives back bytes that were taken.
 func (r *Rationer) Return(bytes int64) {
 	if r != nil {
--- a/daemon/rationer/rationer_test.go
+++ b/daemon/rationer/rationer_test.go
@@ -24,9 +24,16 @@
 		}
 		r.Return(largeOnes*large + smallOnes*small)
 	}
+	unstated := &rationer.Rationer{}
+	if !unstated.Take(96<<20) || unstated.Take(1) {
+		t.Error("without a stated memory, large bodies may take all of 96 MiB and no more")
+	}
 	var none *rationer.Rationer
 	if !none.Take(1 << 40) {
 		t.Error("a nil Rationer has a bound")
 	}
 	none.Return(1 << 40)
+	if none.Held() != 0 {
+		t.Error("a nil Rationer holds something")
+	}
 }
