--- a/daemon/follower/packing_test.go
+++ b/daemon/follower/packing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/packer"
 	"yuccaspread/common/wire"
 )
 
@@ -139,14 +141,14 @@
 // TestPackedRowsAreWhole guards against rows that change on their way, and against a reply that is
 // cut or without a bound.
 func TestPackedRowsAreWhole(t *testing.T) {
-	var d deflater
+	p := rowPacker{packer: packer.New(gzip.BestSpeed)}
 	var rows []*wire.FollowedRow
 	for i := range 3000 {
 		rows = append(rows, &wire.FollowedRow{Table: "u", Key: fmt.Sprint(i), Value: []byte(upstreamRow(i, 1)), Version: int64(i + 1)})
 	}
 	reply := &wire.SyncReply{Rows: slices.Clone(rows)}
 	whole := proto.Size(reply)
-	if err := d.packRows(reply); err != nil {
+	if err := p.packRows(reply); err != nil {
 		t.Fatal(err)
 	}
 	packed := proto.Size(reply)
@@ -161,7 +163,7 @@
 	if err := unpackRows(reply); err != nil || !proto.Equal(reply, &wire.SyncReply{Rows: rows}) {
 		t.Errorf("%d rows, %v; %d wanted", len(reply.GetRows()), err, len(rows))
 	}
-	if unpackRows(&wire.SyncReply{PackedRows: d.deflate(make([]byte, maxUnpackedBytes+1))}) == nil {
+	if unpackRows(&wire.SyncReply{PackedRows: p.packer.Pack(make([]byte, maxUnpackedBytes+1))}) == nil {
 		t.Error("a reply without a bound was taken")
 	}
 }
@@ -182,7 +184,7 @@
 // TestPackedValuesAreWhole guards against values that change on their way, that are packed for a
 // daemon of an earlier version, or that fill the memory when they are unpacked.
 func TestPackedValuesAreWhole(t *testing.T) {
-	var p packer
+	p := rowPacker{packer: packer.New(gzip.BestSpeed)}
 	row := Row{Table: "c", Key: "k", Value: []byte(largeConfig(1)), Version: 5}
 	sent := p.toWire(row, true)
 	got, err := fromWire(sent)
@@ -204,7 +206,7 @@
 	if plain := p.toWire(row, false); !bytes.Equal(plain.GetValue(), row.Value) || plain.GetPacked() != nil {
 		t.Error("the value was packed for a daemon that doesn't accept it")
 	}
-	bomb := packer{}
+	bomb := rowPacker{packer: p.packer}
 	huge := bomb.toWire(Row{Table: "c", Key: "k", Value: make([]byte, maxUnpackedBytes+1)}, true)
 	if _, err = fromWire(huge); err == nil {
 		t.Error("a value without a bound was taken")
