Name evacuations in tests by a name of ours, and the verdict by its type

Cause: three tests of follower used the users' name of the row, which only platform/ may know; an explanation's verdict was a string beside the type for it. Change: the tests say 'evacuation/'; the answer's verdict has the type. Before and after: the form on the wire is the same.

--- a/common/reporter/reporter.go
+++ b/common/reporter/reporter.go
@@ -43,7 +43,7 @@
 	// Upstream is the one that the request would go to now, empty if it would wait or be refused;
 	// Outcome says which in a sentence.
 	Upstream string       `json:"upstream,omitempty"`
-	Verdict  string       `json:"verdict"`
+	Verdict  Verdict      `json:"verdict"`
 	Outcome  string       `json:"outcome"`
 	RetryMS  clock.Millis `json:"retry_after_ms,omitempty"`
 	// Shards are those that would be asked, in this order; the first one that does not refuse decides.
--- a/daemon/explainer/explainer.go
+++ b/daemon/explainer/explainer.go
@@ -92,7 +92,7 @@
 	a = reporter.Answer{
 		Daemon: self.Name, Region: self.Region, Revision: config.Revision, Route: req.Route, Organisation: req.Organisation, Pool: req.Pool,
 		Tier: req.Tier, DeadlineMS: req.Deadline - req.Arrived, ObjectiveMS: req.LatencyObjective, Homes: homesOf(config, req),
-		Verdict: string(reporter.VerdictRefuse), Outcome: "no upstream of its pool lies where it may run",
+		Verdict: reporter.VerdictRefuse, Outcome: "no upstream of its pool lies where it may run",
 	}
 	if req.Homes.Empty() {
 		a.Outcome = "the homes of its route and of its organisation have no region in common"
@@ -119,14 +119,14 @@
 		a.Outcome = fmt.Sprintf("the scheduler of %s can't be asked (%s); the daemon would use its own share of the slots", s.Shard, s.Error)
 		return false
 	case s.Verdict == reporter.VerdictRefuse:
-		a.Verdict, a.Outcome, a.RetryMS = string(s.Verdict), fmt.Sprintf("refused by %s: %s", s.Shard, s.Reason), s.RetryAfter
+		a.Verdict, a.Outcome, a.RetryMS = s.Verdict, fmt.Sprintf("refused by %s: %s", s.Shard, s.Reason), s.RetryAfter
 		return false
 	case s.Verdict == reporter.VerdictWait:
-		a.Verdict, a.Outcome, a.RetryMS = string(s.Verdict), fmt.Sprintf("waits at %s behind %d others, some %.0f ms", s.Shard, s.Waiting, s.WaitMS), 0
+		a.Verdict, a.Outcome, a.RetryMS = s.Verdict, fmt.Sprintf("waits at %s behind %d others, some %.0f ms", s.Shard, s.Waiting, s.WaitMS), 0
 		return true
 	}
 	chosen := slices.IndexFunc(s.Candidates, func(c reporter.Candidate) bool { return c.Chosen })
-	a.Verdict, a.RetryMS = string(s.Verdict), 0
+	a.Verdict, a.RetryMS = s.Verdict, 0
 	if chosen >= 0 {
 		a.Upstream = s.Candidates[chosen].Upstream
 	}
--- a/daemon/follower/evacuations_test.go
+++ b/daemon/follower/evacuations_test.go
@@ -40,29 +40,29 @@
 			t.Errorf("%s: %s is evacuated, want %s", when, got, want)
 		}
 	}
-	feed(row("evacuate/z2", old(2)))
-	feed(config, row("evacuate/elsewhere", old(3)))
+	feed(row("evacuation/z2", old(2)))
+	feed(config, row("evacuation/elsewhere", old(3)))
 	check("a row before the configuration", "[z2]")
 	regions := &f.Current().Regions[0]
-	feed(row("evacuate/z1", old(4)))
+	feed(row("evacuation/z1", old(4)))
 	check("two at once", "[z1 z2]")
-	feed(Row{Table: "c", Key: "evacuate/z2", Version: old(5), Removed: true})
+	feed(Row{Table: "c", Key: "evacuation/z2", Version: old(5), Removed: true})
 	check("one taken back", "[z1]")
 	if regions == &f.Current().Regions[0] {
 		t.Error("the list of regions has changed in place")
 	}
-	list(old(6), config, row("evacuate/z1", old(4)))
+	list(old(6), config, row("evacuation/z1", old(4)))
 	check("listed again", "[z1]")
 	list(restored(1), config)
 	check("restored from a copy without the row", "[z1]")
 	clock.now += rewriteGrace / 2
-	feed(row("evacuate/z1", restored(2)))
+	feed(row("evacuation/z1", restored(2)))
 	clock.now += rewriteGrace
 	f.expireLapses()
 	check("written again", "[z1]")
 	list(restored(3), config)
 	check("gone in a listing of the same era", "[]")
-	feed(row("evacuate/z2", restored(4)))
+	feed(row("evacuation/z2", restored(4)))
 	f.noteEra("c", Version(3<<numberBits))
 	list(Version(3<<numberBits|1), config)
 	check("restored again", "[z2]")
@@ -97,7 +97,7 @@
 				for i, p := range fleet {
 					register.setRefused(p.View.Self().Name, i%3 == 0)
 				}
-				register.put("c", "evacuate/z1", "{}")
+				register.put("c", "evacuation/z1", "{}")
 				time.Sleep(settleTime)
 				check("a third is refused", "[z1]", fleet)
 				register.setAway(true)
@@ -105,7 +105,7 @@
 				check("the register is away", "[z1]", fleet)
 				register.setAway(false)
 				time.Sleep(3 * time.Second)
-				register.put("c", "evacuate/z1", "")
+				register.put("c", "evacuation/z1", "")
 				time.Sleep(settleTime)
 				check("taken back", "[]", fleet)
 			})
@@ -122,7 +122,7 @@
 		return f
 	}
 	running, started := newFollower(), newFollower()
-	rows := []Row{{Table: "c", Key: "k", Value: []byte(regionsConfig), Version: 1}, {Table: "c", Key: "evacuate/z2", Value: []byte("{}"), Version: 2}}
+	rows := []Row{{Table: "c", Key: "k", Value: []byte(regionsConfig), Version: 1}, {Table: "c", Key: "evacuation/z2", Value: []byte("{}"), Version: 2}}
 	running.applyChanges(running.replica.ApplyListing("c", slices.Clone(rows), 2), "register")
 	started.noteConfirmations(running.knownVersions())
 	started.applyReply(running.buildReply(&wire.SyncRequest{Have: started.requestedVersions()}), "peer")
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -94,7 +94,7 @@
 type decoder struct{}
 
 func (decoder) Evacuation(key string) (domain string, isEvacuation bool, err error) {
-	domain, isEvacuation = strings.CutPrefix(key, "evacuate/")
+	domain, isEvacuation = strings.CutPrefix(key, "evacuation/")
 	return domain, isEvacuation, nil
 }
 
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -134,7 +134,7 @@
 type testDecoder struct{}
 
 func (testDecoder) Evacuation(key string) (domain string, isEvacuation bool, err error) {
-	domain, isEvacuation = strings.CutPrefix(key, "evacuate/")
+	domain, isEvacuation = strings.CutPrefix(key, "evacuation/")
 	return domain, isEvacuation, nil
 }
 
