Send no request on a connection that has carried its id

Callers got a promise "not run" for a request that ran, or it ran on a second upstream as well. An upstream may write a refusal once more, late, and the copy bears the refused request's id. Where that id was under way again on the same connection, the daemon took the copy for a second refusal.

Cause: an answer was believed by its id alone, as if an id reached a connection once. It can come back: an upstream that was restarted is listed under two names of one address, so a request that is refused with 421 under the old name goes on under the new one on the same kept connection; and a caller may repeat an id. Class: a name that isn't unique where it has to tell two things apart.

Change: a connection remembers the ids that it has carried (a hash each, 1,024 at most, then it is replaced) and carries none twice; the request goes out on a new one, which is logged. So all that an answer with an id says, "not run" with 503, 421, 429 or 408, load, limits, leaving and pauses, belongs to the one send on that connection. The product's own path passes its attempt ids too.

Conclusion: what a copy says is never taken for the request that is under way.

--- a/daemon/dispatcher/run.go
+++ b/daemon/dispatcher/run.go
@@ -223,7 +223,7 @@
 		BufferBytes: int(r.Source.Current().Limits.WithDefaults().StoredAnswerBytes), Answer: r.entry.Answer,
 		Call: sender.Call{
 			Method: r.req.Method, Address: upstream.Address, Path: r.req.Path, Header: outgoingHeader(r.req, attemptID),
-			Body: r.req.Body, NewConnection: !r.req.Idempotent, Run: r.lastRun,
+			Body: r.req.Body, RequestID: attemptID, NewConnection: !r.req.Idempotent, Run: r.lastRun,
 		},
 		OnFirstBytes: func(header http.Header) {
 			cached, _ := strconv.Atoi(header.Get("X-Cached-Tokens"))
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -256,7 +256,7 @@
 	watch := r.watchSilence(ctx, upstream.Name, cancel)
 	defer func() { replacement = watch.stop() }()
 	res, err := r.Sender.Send(ctx, sender.Call{
-		Method: r.req.Method, Address: upstream.Address, Host: r.req.Host, Path: r.req.Path, Body: r.req.Body, Run: r.lastRun,
+		Method: r.req.Method, Address: upstream.Address, Host: r.req.Host, Path: r.req.Path, Body: r.req.Body, RequestID: r.req.ID, Run: r.lastRun,
 		Header: r.Protocol.Header(Attempt{Request: r.req, Upstream: upstream, TimeLeft: r.timeLeft(), LastEventID: r.resumePoint()}),
 	})
 	if err != nil {
--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"hash/maphash"
 	"net"
 	"os"
 	"sync"
@@ -32,8 +33,12 @@
 	gone chan struct{}
 	// reading is held during a read.
 	reading sync.Mutex
+	// idSeed is the seed of the hashes in carried.
+	idSeed maphash.Seed
 
 	mu sync.Mutex
+	// carried holds a hash of the id of each request that the connection has carried.
+	carried map[uint64]bool
 	// run is the run that uses the connection; if it is nil, writes fail.
 	run *Run
 	// closedByUpstream reports that a read found the end of the connection or a reset.
@@ -47,7 +52,33 @@
 }
 
 func newConn(plain net.Conn) *conn {
-	return &conn{Conn: plain, opened: time.Now(), gone: make(chan struct{})}
+	return &conn{Conn: plain, opened: time.Now(), gone: make(chan struct{}), idSeed: maphash.MakeSeed()}
+}
+
+// carry records that the connection is to carry a request, and reports whether it has carried none with
+// this id before.
+func (c *conn) carry(id string) (first bool) {
+	if id == "" {
+		return true
+	}
+	hash := maphash.String(c.idSeed, id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.carried[hash] {
+		return false
+	}
+	if c.carried == nil {
+		c.carried = map[uint64]bool{}
+	}
+	c.carried[hash] = true
+	return true
+}
+
+// isWorn reports whether the connection has carried as many requests as it may.
+func (c *conn) isWorn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.carried) >= MaxCarriedRequests
 }
 
 // Write implements net.Conn.
--- a/daemon/sender/run.go
+++ b/daemon/sender/run.go
@@ -105,13 +105,14 @@
 	return true
 }
 
-// bind attaches the run to a connection. The first one carries the request. Any later
-// one comes from a retry of the transport, whose writes must fail.
-func (r *Run) bind(c *conn) {
+// bind attaches the run to a connection. The first usable one carries the request. Any later
+// one comes from a retry of the transport, whose writes must fail, as those on a connection that
+// is not usable.
+func (r *Run) bind(c *conn, usable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	owner := r
-	if r.conn != nil {
+	if r.conn != nil || !usable {
 		owner = nil
 	}
 	if owner != nil {
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -20,8 +20,10 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/logger"
 	"yuccaspread/daemon/tuner"
 )
 
@@ -30,6 +32,9 @@
 	maxIdlePerUpstream = 32
 	idleTimeout        = 20 * clock.Second
 	maxConnectionAge   = 5 * clock.Minute
+	// MaxCarriedRequests bounds the requests that a connection carries, and with them what is kept
+	// of their ids.
+	MaxCarriedRequests = 1024
 )
 
 // Error is a failed send.
@@ -61,6 +66,10 @@
 	// Host is the value of the Host header; empty stands for Address.
 	Host string
 	Body []byte
+	// RequestID is the id by which the answer is told from those to other requests. A connection
+	// carries no id twice: an answer to the first request could pass for one to the second.
+	// Empty lets any connection be used.
+	RequestID string
 	// NewConnection sends the call on a new connection that serves this call only:
 	// the upstream may just have closed an idle one, which would leave the outcome
 	// unknown.
@@ -106,6 +115,24 @@
 	if run == nil {
 		run = &Run{}
 	}
+	transport := s.pooled
+	if call.NewConnection {
+		transport = s.unpooled
+	}
+	res, repeated, err := roundTrip(ctx, transport, call, run)
+	if err != nil && repeated {
+		klog.InfoS("connection has carried the id of a request before; sending the request on a new one", logger.KeyRequest, call.RequestID, "address", call.Address)
+		res, _, err = roundTrip(ctx, s.unpooled, call, run)
+	}
+	if err != nil {
+		return nil, &Error{Sent: run.seal(), Err: err}
+	}
+	return res, nil
+}
+
+// roundTrip sends the call on a connection of the transport. repeated reports that nothing was sent
+// because that connection has carried a request with the same id.
+func roundTrip(ctx context.Context, transport *http.Transport, call Call, run *Run) (res *http.Response, repeated bool, err error) {
 	var used *conn
 	reused := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -114,25 +141,25 @@
 			return
 		}
 		used, reused = c, info.Reused
-		run.bind(c)
+		repeated = !c.carry(call.RequestID)
+		run.bind(c, !repeated)
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, &Error{Err: err}
-	}
-	transport := s.pooled
-	if call.NewConnection {
-		transport = s.unpooled
+		return nil, false, err
 	}
 	res, err = transport.RoundTrip(req)
 	if err != nil {
-		return nil, &Error{Sent: run.seal(), Err: err}
+		return nil, repeated, err
 	}
 	if used != nil {
 		run.setAnswered(res.Body == http.NoBody)
-		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused, closeConn: used.exceedsAge(maxConnectionAge)}
+		res.Body = &answerBody{
+			ReadCloser: res.Body, run: run, conn: used, reused: reused,
+			closeConn: used.exceedsAge(maxConnectionAge) || used.isWorn(),
+		}
 	}
-	return res, nil
+	return res, false, nil
 }
 
 // Limits of the check whether an upstream has crashed.
@@ -209,7 +236,7 @@
 	// reused means that the connection has carried an earlier request.
 	reused bool
 	// closeConn makes Close also close the connection, because it has exceeded
-	// maxConnectionAge or by CloseAfter.
+	// maxConnectionAge or MaxCarriedRequests, or by CloseAfter.
 	closeConn bool
 }
 
