Take no answer that comes after the end of a call

A call that was ended in time brought an answer: the end of the sending side reaches the upstream, which answers, and a read that was in progress took that answer before the deadline of the read had been moved into the past. An upstream that answers so has ended the run because of the close.

Class: the end of something is ordered in two steps, and counts between them.

Change: what a read brings after Close is dropped.

--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -101,6 +101,10 @@
 	}
 	n, err = c.Conn.Read(piece)
 	c.recordRead(n, err)
+	if c.isClosed() {
+		// What has come may be the upstream's answer to the close.
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
--- a/daemon/sender/run_test.go
+++ b/daemon/sender/run_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 // TestRunStateTellsHowTheUpstreamEnded guards against a run that counts as ended although nothing
 // shows that its upstream has stopped.
 func TestRunStateTellsHowTheUpstreamEnded(t *testing.T) {
+	finish := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		switch r.URL.Path {
@@ -24,13 +26,14 @@
 			_, _ = w.Write([]byte("abc"))
 			panic(http.ErrAbortHandler)
 		case "/hangs":
-			<-r.Context().Done()
+			<-finish
 		case "/empty":
 		default:
 			_, _ = w.Write([]byte("whole"))
 		}
 	}))
 	defer server.Close()
+	defer close(finish)
 	for path, want := range map[string]sender.RunState{
 		"/whole": sender.Answered, "/empty": sender.Answered, "/breaks": sender.ClosedByUpstream, "/hangs": sender.Open,
 	} {
@@ -134,3 +137,49 @@
 		t.Error("the upstream still works on the call")
 	}
 }
+
+// TestAnswerToTheEndOfACallIsNotTaken guards against a call that was ended in time and yet brings the answer that
+// its upstream writes on noticing that end.
+func TestAnswerToTheEndOfACallIsNotTaken(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				_ = conn.Close()
+			}()
+		}
+	}()
+	taken := 0
+	const calls = 2000
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for range 8 {
+		group.Go(func() {
+			for range calls / 8 {
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Millisecond)
+				res, err := (&sender.Sender{}).Send(ctx, sender.Call{Method: http.MethodGet, Address: socket.Addr().String(), Path: "/"})
+				cancel()
+				if err == nil {
+					_ = res.Body.Close()
+					mu.Lock()
+					taken++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	if taken > 0 {
+		t.Errorf("%d of %d calls brought an answer after their end", taken, calls)
+	}
+}
