Let the soak repeat refused requests under the same id

Cause: the soak's callers sent each id once, and its workers wrote nothing late. So it never had an id a second time on a connection, nor a refusal's copy there. Change: the stand-in worker refuses the first requests of some ids (PUT /standin/refusals) and writes these refusals once more on the same connection: while the id runs there, at given times, or idle. Callers repeat a refused request up to three times under the same id at the same daemon; that is one request: it may run once in all, it must not have begun to run when it is repeated after a refusal, and the last status must be true. 421 and 408 count as refusals as 503 and 429 did.

--- a/standin/serve.go
+++ b/standin/serve.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		server := &http.Server{Handler: router, ReadHeaderTimeout: stopTimeout.Duration()}
+		server := &http.Server{Handler: router, ReadHeaderTimeout: stopTimeout.Duration(), ConnContext: worker.ConnContext}
 		servers = append(servers, server)
 		running.Go(func() { serveErrors <- server.Serve(socket) })
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -93,13 +93,16 @@
 	// Crash ends the process at once.
 	Crash func()
 
-	once   sync.Once
-	slots  chan struct{}
-	mu     sync.Mutex
-	faults Faults
-	runs   []Run
+	once     sync.Once
+	slots    chan struct{}
+	mu       sync.Mutex
+	faults   Faults
+	refusals Refusals
+	runs     []Run
 	// arrivals holds when requests arrived, refused ones included.
 	arrivals []int64
+	// arrived counts requests by their id.
+	arrived map[string]arrivalCount
 	// waiting is the number of requests that wait for a slot.
 	waiting int
 	// requestCount is the number of requests received.
@@ -110,6 +113,7 @@
 func (v *Worker) Register(router *mux.Router) {
 	v.once.Do(func() { v.slots = make(chan struct{}, max(v.Slots, 1)) })
 	router.HandleFunc("/standin/faults", v.serveFaults).Methods(http.MethodPut)
+	router.HandleFunc("/standin/refusals", v.serveRefusals).Methods(http.MethodPut)
 	router.HandleFunc("/standin/runs", v.serveRuns).Methods(http.MethodGet)
 	router.HandleFunc("/standin/arrivals", v.serveArrivals).Methods(http.MethodGet)
 	router.HandleFunc("/health", v.serveHealth).Methods(http.MethodGet)
@@ -158,9 +162,15 @@
 		return
 	}
 	faults, index := v.countRequest()
-	if id := r.Header.Get(headerAttempt); id != "" {
+	id := r.Header.Get(headerAttempt)
+	if id != "" {
 		w.Header().Set(headerAttempt, id)
 	}
+	conn, _ := r.Context().Value(connKey{}).(*connState)
+	if conn != nil {
+		conn.answering.Lock()
+		defer conn.answering.Unlock()
+	}
 	if faults.NamedLimit != "" {
 		w.Header().Set("Server-Limit", faults.NamedLimit)
 	}
@@ -171,7 +181,7 @@
 	case faults.Silent:
 		<-r.Context().Done()
 		return
-	case r.Header.Get(headerAttempt) == "":
+	case id == "":
 		v.refuseUnexecuted(w, http.StatusBadRequest)
 		return
 	case isEveryNth(index, faults.ShedEvery):
@@ -180,6 +190,12 @@
 		}
 		v.refuseUnexecuted(w, http.StatusServiceUnavailable)
 		return
+	}
+	refusals, refused := v.countArrival(id)
+	switch {
+	case refused:
+		v.refuseRepeatable(w, conn, id, refusals)
+		return
 	case !v.acquireSlot(r):
 		v.refuseUnexecuted(w, http.StatusServiceUnavailable)
 		return
@@ -190,6 +206,7 @@
 	if faults.IgnoreClose {
 		r = r.WithContext(context.WithoutCancel(r.Context()))
 	}
+	conn.writeCopies(r.Context(), id, refusals.CopyAfterMS)
 	v.runRequest(w, r, faults, index)
 }
 
