Judge whether this daemon has a path to the upstreams

A daemon that had lost its links to all upstreams did not know it: callers were handed its address, and their requests failed there one by one.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -46,6 +46,7 @@
 		peerDuty(),
 		membershipDuty(),
 		followingDuty(),
+		surveyingDuty(),
 		recordingDuty(),
 		schedulingDuty(),
 		releasingDuty(),
