Tell the other daemons at once that this one is cut off

Only the daemon itself knew that it has no path to any upstream, so the others went on to hand it to callers.

Member.CutOff travels with load and revision and their version, but not behind them: a change of it is published without the pace of reports, goes at once to all daemons of the region and to the delegates of the others, is passed on like a change of state, and shows in the digest, so that a comparison of tables brings what was lost. It raises no incarnation: limits are taken over anew on that. The digest of a member that is not cut off stays as it was. A daemon that doesn't know the field passes rows on without it; at an equal version the row that shows the cut is believed, since only such a daemon can have dropped it.

--- a/daemon/duty_membership.go
+++ b/daemon/duty_membership.go
@@ -11,6 +11,7 @@
 	"yuccaspread/daemon/drainer"
 	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/retirer"
+	"yuccaspread/daemon/surveyor"
 )
 
 type gossiperResult struct {
@@ -43,18 +44,31 @@
 // as a load of 1.
 const fullLoadRequests = 1000
 
+type startGossiperParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Gossiper  *gossiper.Gossiper
+	Config    configSource
+	Drainer   *drainer.Drainer
+	Seeds     seedLister
+	// Surveyor is nil where nothing judges the paths to the upstreams.
+	Surveyor *surveyor.Surveyor `optional:"true"`
+}
+
 // startGossiper sets what the gossiper reports about this daemon and where it
 // finds others, and runs it.
-func startGossiper(l fx.Lifecycle, g *gossiper.Gossiper, c configSource, d *drainer.Drainer, seeds seedLister) {
+func startGossiper(params startGossiperParams) {
+	g, s := params.Gossiper, params.Surveyor
 	g.Report = func() gossiper.Report {
-		report := gossiper.Report{Load: min(1, float64(d.InProgress())/fullLoadRequests)}
-		if c.Ready() {
-			report.Revision = c.Current().Revision
+		report := gossiper.Report{Load: min(1, float64(params.Drainer.InProgress())/fullLoadRequests), CutOff: s != nil && s.IsCutOff()}
+		if params.Config.Ready() {
+			report.Revision = params.Config.Current().Revision
 		}
 		return report
 	}
-	g.Seeds = seeds
-	runDuty(l, g.Run)
+	g.Seeds = params.Seeds
+	runDuty(params.Lifecycle, g.Run)
 }
 
 func newGossiper(s settings, c clock.Clock, peers *connector.Connector, registerer prometheus.Registerer) gossiperResult {
--- a/daemon/duty_surveying.go
+++ b/daemon/duty_surveying.go
@@ -6,6 +6,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/gossiper"
 	"yuccaspread/daemon/surveyor"
 )
 
@@ -17,6 +18,6 @@
 	)
 }
 
-func newSurveyor(s settings, source inventory.Source, c clock.Clock, registerer prometheus.Registerer) *surveyor.Surveyor {
-	return &surveyor.Surveyor{Source: source, Clock: c, Region: s.Region, Registerer: registerer}
+func newSurveyor(s settings, source inventory.Source, c clock.Clock, g *gossiper.Gossiper, registerer prometheus.Registerer) *surveyor.Surveyor {
+	return &surveyor.Surveyor{Source: source, Clock: c, Region: s.Region, OnChange: g.PublishReport, Registerer: registerer}
 }
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -97,8 +97,8 @@
 	// changedMembers are the members that were added or changed state in this
 	// call of Handle.
 	changedMembers []Member
-	// localReport is the newest load and revision of this daemon, copied to
-	// self once they are published.
+	// localReport is the newest report of this daemon, copied to self once it is
+	// published.
 	localReport Report
 
 	started     clock.Millis
@@ -169,8 +169,7 @@
 	case IndirectProbeSucceeded:
 		c.handleIndirectProbeSuccess(now, m.Name)
 	case Report:
-		c.localReport = m
-		c.publishReport(now)
+		return c.handleReport(now, m)
 	case Leave:
 		return c.broadcastState(now, Leaving)
 	case Stop:
@@ -288,7 +287,7 @@
 	return names
 }
 
-// digest returns a hash of the names, incarnations and states of all members
+// digest returns a hash of the names, incarnations, states and cuts of all members
 // that are not dead. It does not depend on their order.
 func (c *Core) digest() uint64 {
 	sum := memberDigest(c.self)
@@ -302,5 +301,12 @@
 
 func memberDigest(m Member) uint64 {
 	const prime = 0x9E3779B97F4A7C15
-	return (xxhash.Sum64String(m.Name)^uint64(m.Incarnation))*prime + uint64(m.State)
+	// A member that is not cut off has the digest that daemons compute which don't know
+	// of cuts.
+	const cutOff = 1 << 8
+	digest := (xxhash.Sum64String(m.Name)^uint64(m.Incarnation))*prime + uint64(m.State)
+	if m.CutOff {
+		digest += cutOff
+	}
+	return digest
 }
--- a/daemon/gossiper/core_test.go
+++ b/daemon/gossiper/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"yuccaspread/common/clock"
@@ -21,6 +22,18 @@
 	packets   int
 	// partitioned reports whether packets between the two are dropped.
 	partitioned func(a, b string) bool
+	// strip reports whether a daemon is one that doesn't know of cuts; nil means that none is.
+	strip func(name string) bool
+}
+
+// stripped returns the packet as a daemon reads it that doesn't know of cuts.
+func stripped(p gossiper.Packet) gossiper.Packet {
+	p.Sender.CutOff = false
+	p.Updates = slices.Clone(p.Updates)
+	for i := range p.Updates {
+		p.Updates[i].CutOff = false
+	}
+	return p
 }
 
 func newCluster(t *testing.T, regions, membersPerRegion int) *cluster {
@@ -74,12 +87,18 @@
 	if !c.canReach(from, to) {
 		return reply, false
 	}
+	if c.strip != nil && c.strip(to) {
+		p = stripped(p)
+	}
 	for _, e := range c.cores[to].Handle(c.now, gossiper.PacketReceived{Packet: p}) {
 		if r, found := e.(gossiper.Reply); found {
 			if c.t == nil {
 				c.wireBytes += gossiper.PacketSize(p) + gossiper.PacketSize(r.Packet) + 2*packetOverheadBytes
 				c.packets += 2
 			}
+			if c.strip != nil && c.strip(from) {
+				return stripped(r.Packet), true
+			}
 			return r.Packet, true
 		}
 	}
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -41,7 +41,7 @@
 	// that there are none.
 	Seeds func() []string
 	// Report returns the load and the configuration revision in force on this
-	// daemon; nil leaves both at 0.
+	// daemon, and whether it has no path to any upstream; nil leaves all at 0.
 	Report func() Report
 	// Registerer registers the metrics; nil disables them.
 	Registerer prometheus.Registerer
@@ -49,6 +49,9 @@
 	ExchangeTimeout clock.Millis
 
 	initOnce sync.Once
+	// reporting is held from the call of Report until its result is handled, so that an
+	// older one never follows a newer one.
+	reporting sync.Mutex
 	// mu guards core.
 	mu   sync.Mutex
 	core *Core
@@ -189,12 +192,21 @@
 	if g.Seeds != nil {
 		g.process(ctx, Seeds{Addresses: g.Seeds()})
 	}
-	if g.Report != nil {
-		g.process(ctx, g.Report())
-	}
+	g.PublishReport(ctx)
 	g.process(ctx, Tick{})
 }
 
+// PublishReport reads Report now and not only with the next tick. A change of CutOff is sent to
+// the other members at once.
+func (g *Gossiper) PublishReport(ctx context.Context) {
+	if g.Report == nil {
+		return
+	}
+	g.reporting.Lock()
+	defer g.reporting.Unlock()
+	g.process(ctx, g.Report())
+}
+
 // announceStop sends the stop to the other members and waits for the effects
 // in progress.
 func (g *Gossiper) announceStop(ctx context.Context) {
--- a/daemon/gossiper/member.go
+++ b/daemon/gossiper/member.go
@@ -52,11 +52,13 @@
 	State       State
 	// Load is the share of the daemon's capacity in use, in [0, 1].
 	Load float64
-	// ReportVersion is the version of Load and Revision within an incarnation: it grows
-	// with each published change of them.
+	// ReportVersion is the version of Load, Revision and CutOff within an incarnation: it
+	// grows with each published change of them.
 	ReportVersion int64
 	// Revision is the configuration revision in force on the member.
 	Revision int64
+	// CutOff reports whether the member has no path to any upstream, by its own word.
+	CutOff bool
 	// LastHeard is when the local daemon last heard of the member, by the clock of
 	// the local daemon. It is never sent.
 	LastHeard clock.Millis
--- a/daemon/gossiper/merge.go
+++ b/daemon/gossiper/merge.go
@@ -84,12 +84,26 @@
 		known.Member = m
 		known.stateSince = now
 		c.updates.enqueue(m.Name, false)
-	case m.Incarnation == known.Incarnation && m.State == known.State && m.ReportVersion > known.ReportVersion:
+	case m.Incarnation == known.Incarnation && m.State == known.State:
+		c.mergeReport(known, m)
+	}
+}
+
+// mergeReport replaces what is known of a member by its newer report m. Load and revision
+// are forwarded only within the member's own region, and after all other news; a change of
+// CutOff is forwarded as a change of state is.
+func (c *Core) mergeReport(known *peerState, m Member) {
+	urgent := m.CutOff != known.CutOff
+	switch {
+	case m.ReportVersion > known.ReportVersion:
 		known.Member = m
-		// Load and revision are forwarded only within the member's own region.
-		if m.Region == c.self.Region {
-			c.updates.enqueue(m.Name, true)
+		if urgent || m.Region == c.self.Region {
+			c.updates.enqueue(m.Name, !urgent)
 		}
+	case m.ReportVersion == known.ReportVersion && m.CutOff && urgent:
+		// A daemon that doesn't know of cuts passed the row on without it.
+		known.CutOff = true
+		c.updates.enqueue(m.Name, false)
 	}
 }
 
@@ -118,29 +132,48 @@
 	c.self.LastHeard = now
 }
 
+// handleReport publishes the local report where that is due, and a change of CutOff at
+// once.
+func (c *Core) handleReport(now clock.Millis, m Report) []Effect {
+	c.localReport = m
+	urgent := m.CutOff != c.self.CutOff
+	c.publishReport(now)
+	if !urgent {
+		return nil
+	}
+	return c.broadcast(now)
+}
+
 // publishReport copies the local report to self and raises its version, if
 // the revision changed or the load changed by minLoadChange or more, and
-// reportInterval has passed since the last time.
+// reportInterval has passed since the last time, or if CutOff changed.
 func (c *Core) publishReport(now clock.Millis) {
+	urgent := c.localReport.CutOff != c.self.CutOff
 	loadChanged := math.Abs(c.localReport.Load-c.self.Load) >= minLoadChange
-	if !loadChanged && c.localReport.Revision == c.self.Revision {
+	if !urgent && !loadChanged && c.localReport.Revision == c.self.Revision {
 		return
 	}
-	if now-c.lastReport < reportInterval && c.lastReport > 0 {
+	if !urgent && now-c.lastReport < reportInterval && c.lastReport > 0 {
 		return
 	}
 	c.lastReport = now
 	c.self.Load = c.localReport.Load
 	c.self.Revision = c.localReport.Revision
+	c.self.CutOff = c.localReport.CutOff
 	c.self.ReportVersion++
 	c.self.LastHeard = now
 }
 
 // broadcastState sets the state of this daemon to Leaving or Dead and returns
-// the exchanges that send it at once to every member of the own region and to
-// the delegates of the other regions.
+// the exchanges that send it at once.
 func (c *Core) broadcastState(now clock.Millis, state State) (effects []Effect) {
 	c.setOwnState(now, state)
+	return c.broadcast(now)
+}
+
+// broadcast returns the exchanges that send the row of this daemon at once to every
+// member of the own region and to the delegates of the other regions.
+func (c *Core) broadcast(now clock.Millis) (effects []Effect) {
 	for _, name := range c.peerNames() {
 		peer := c.peers[name]
 		if peer.State != Dead && peer.Region == c.self.Region {
--- a/daemon/gossiper/messages.go
+++ b/daemon/gossiper/messages.go
@@ -37,10 +37,12 @@
 	Name string
 }
 
-// Report sets the load and the configuration revision of this daemon.
+// Report sets the load and the configuration revision of this daemon, and whether it has no
+// path to any upstream. A change of CutOff is sent to others at once.
 type Report struct {
 	Load     float64
 	Revision int64
+	CutOff   bool
 }
 
 // Leave begins a planned stop of this daemon.
@@ -102,7 +104,7 @@
 	// FullTable reports whether Updates holds all peers of the sender and, in a request,
 	// asks for all peers of the receiver.
 	FullTable bool
-	// Digest is a hash of the names, incarnations and states of all members that
+	// Digest is a hash of the names, incarnations, states and cuts of all members that
 	// are not dead for the sender.
 	Digest uint64
 	// Known, if any, holds the hash of each member that the sender knows, dead ones
--- a/daemon/gossiper/updates.go
+++ b/daemon/gossiper/updates.go
@@ -11,7 +11,7 @@
 type queuedUpdate struct {
 	// sent is the number of packets that have carried the update.
 	sent int
-	// lowPriority marks changes of load and revision only, which are sent after
+	// lowPriority marks changes of nothing but load and revision, which are sent after
 	// all others.
 	lowPriority bool
 }
