Leave daemons that are cut off out of address answers

Callers were handed the addresses of daemons without a path to any upstream, as often as those of the others.

Of the daemons that can serve, those that are cut off are now returned only if all are; a daemon that answers a lookup leaves itself out too. If all daemons of the caller's region are cut off, the nearest regions serve. One answer serves /resolve and /v1/addresses, so both follow. Readiness stays as it is: such a daemon accepts requests, and callers that hold its address still come.

--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -211,6 +211,8 @@
 // requests while callers may hold the address of this daemon, refuses later ones
 // and waits for the requests in progress.
 func serveHosted(params hostedParams) {
+	// A daemon that is cut off from the upstreams stays ready: it accepts requests and serves them
+	// through others, and callers that hold its address still come. Address answers leave it out.
 	platformHandlers := &responder.Responder{
 		Resolver: params.Resolver, Ready: func() bool { return params.Follower.Ready() && !params.Drainer.Leaving() },
 	}
--- a/daemon/resolver/orderer.go
+++ b/daemon/resolver/orderer.go
@@ -26,10 +26,14 @@
 // distance it spreads callers with the spare capacity as weight.
 //
 // If any daemon is eligible, that is alive and with a configuration in force,
-// only eligible ones are returned. If none is, the others are returned, since an
+// only eligible ones are returned, and of them those that are cut off from the
+// upstreams only if all are. If none is, the others are returned, since an
 // answer that may work is better than none; leaving ones only if all are leaving.
 func Order(members []gossiper.Member, regions []inventory.Region, region string, random func() float64) []Address {
-	chosen := filterMembers(members, eligible)
+	chosen := filterMembers(members, func(m gossiper.Member) bool { return eligible(m) && !m.CutOff })
+	if len(chosen) == 0 {
+		chosen = filterMembers(members, eligible)
+	}
 	if len(chosen) == 0 {
 		chosen = filterMembers(members, func(m gossiper.Member) bool { return m.State != gossiper.Leaving })
 	}
--- a/daemon/resolver/resolver.go
+++ b/daemon/resolver/resolver.go
@@ -55,7 +55,7 @@
 	// that daemon does not know it; nil means that none is.
 	Retired func(m gossiper.Member) bool
 	// Isolated reports whether this daemon reaches neither the platform nor any
-	// other daemon; nil means that it never is cut off.
+	// other daemon; nil means that it never is isolated.
 	Isolated func() bool
 	// OwnRegionOnly leaves out the daemons of other regions if the answer holds any
 	// daemon of the caller's region, and else those outside of the home regions of the host's
@@ -129,17 +129,17 @@
 }
 
 // markUnavailable returns a copy of members in which alive ones that are about
-// to be removed count as leaving, and this daemon as suspected while it is cut
-// off.
+// to be removed count as leaving, and this daemon as suspected while it is
+// isolated.
 func (v *Resolver) markUnavailable(members []gossiper.Member, self string) []gossiper.Member {
-	cutOff := v.Isolated != nil && v.Isolated()
+	isolated := v.Isolated != nil && v.Isolated()
 	copied := append([]gossiper.Member(nil), members...)
 	for i, m := range copied {
 		switch {
 		case m.State != gossiper.Alive:
 		case v.Retired != nil && v.Retired(m):
 			copied[i].State = gossiper.Leaving
-		case cutOff && m.Name == self:
+		case isolated && m.Name == self:
 			copied[i].State = gossiper.Suspect
 		}
 	}
