Say which socket option closes a silent idle connection

The constants said that an idle connection whose other end is silent is closed after 3 s and three probes a second apart, so after 6 s. Where TCP_USER_TIMEOUT is set, and it is on each connection that daemons dial or accept, Linux goes by that instead of the count.

Nothing that the kernel does changes.

--- a/daemon/tuner/tuner.go
+++ b/daemon/tuner/tuner.go
@@ -14,13 +14,15 @@
 
 // Times after which a dead connection is closed.
 const (
-	// UserTimeout is how long sent bytes may stay unacknowledged.
+	// UserTimeout is how long sent bytes may stay unacknowledged. On Linux it also decides when
+	// keep-alive probes give up, instead of their count: with the first probe that is due once
+	// the other end has been silent for that long.
 	UserTimeout = 5 * clock.Second
-	// KeepAliveIdle, KeepAliveInterval and KeepAliveCount configure the keep-alive
-	// probes of an idle connection.
+	// KeepAliveIdle and KeepAliveInterval time the keep-alive probes of an idle connection.
+	// KeepAliveCount probes end with the UserTimeout.
 	KeepAliveIdle     = 3 * clock.Second
 	KeepAliveInterval = 1 * clock.Second
-	KeepAliveCount    = 3
+	KeepAliveCount    = 2
 	// DialTimeout is how long opening a connection may take.
 	DialTimeout = 1 * clock.Second
 )
