Log when a scheduler pauses or ejects an upstream

The logs couldn't tell what the scheduler believed of the upstreams. Change: the scheduler reports a pause that begins or grows, with the daemon whose request ended so, and an ejection; the granter logs each in one line. No decision changes. Conclusion: needed for the timeline.

--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -284,6 +284,8 @@
 			r.sendWithdrawal(e)
 		case scheduler.NoticeChanged:
 			r.broadcastNotice(e)
+		case scheduler.UpstreamPaused, scheduler.UpstreamEjected:
+			r.logBelief(e)
 		case scheduler.LowestTier:
 			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
 			r.granter.lowestTiers.TryPush(lowestTier{shard: r.id, lowest: e.Lowest})
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -261,8 +261,24 @@
 // none any more, or that it is about to stop.
 type NoticeChanged Notice
 
-func (NoticeChanged) effect() {}
-func (Grant) effect()         {}
-func (Refuse) effect()        {}
-func (Withdraw) effect()      {}
-func (LowestTier) effect()    {}
+// UpstreamPaused reports that an upstream gets no work for the time of a pause, or for a longer one
+// than before, because of how a request ended there.
+type UpstreamPaused struct {
+	Upstream string `json:"upstream"`
+	// ID is the ask whose end was reported.
+	ID    AskID        `json:"id"`
+	Pause clock.Millis `json:"pause_ms"`
+}
+
+// UpstreamEjected reports that an upstream gets nothing but probes because it is slow.
+type UpstreamEjected struct {
+	Upstream string `json:"upstream"`
+}
+
+func (NoticeChanged) effect()   {}
+func (Grant) effect()           {}
+func (Refuse) effect()          {}
+func (Withdraw) effect()        {}
+func (LowestTier) effect()      {}
+func (UpstreamPaused) effect()  {}
+func (UpstreamEjected) effect() {}
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -125,10 +125,10 @@
 		u.tentative = false
 		s.learnLength(a, m.Usage.OutputTokens)
 	case reserver.UpstreamDied:
-		u.pauseWork(s.now)
+		s.pauseWork(u, a)
 	case reserver.ConnectionBroken:
 		if u.consecutiveBreaks >= breaksBeforePause {
-			u.pauseWork(s.now)
+			s.pauseWork(u, a)
 		}
 	case reserver.NotSent:
 		u.limit.allowance.Return()
@@ -138,6 +138,17 @@
 	s.release(a)
 }
 
+// pauseWork keeps new requests from an upstream for twice the last pause, within its bounds,
+// because of how an ask ended there.
+func (s *State) pauseWork(u *upstream, a *ask) {
+	last, wasPaused := u.pause, s.now < u.pausedUntil
+	u.pause = min(max(2*last, minPause), maxPause)
+	u.pausedUntil = s.now + u.pause
+	if !wasPaused || u.pause > last {
+		s.emit(UpstreamPaused{Upstream: u.Name, ID: a.ID, Pause: u.pause})
+	}
+}
+
 // learnLength records the output length of a completed answer, in tokens.
 func (s *State) learnLength(a *ask, outputTokens int) {
 	if s.lengthSeenAt == nil {
@@ -219,6 +230,7 @@
 	}
 	if float64(ejected+1) <= s.limits.WithDefaults().EjectShare*float64(listed) {
 		u.straggler.Eject(s.now)
+		s.emit(UpstreamEjected{Upstream: u.Name})
 	}
 }
 
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -125,13 +125,6 @@
 	u.failureRate += failureWeight * (failure - u.failureRate)
 }
 
-// pauseWork keeps new requests from the upstream for twice the last pause, within
-// its bounds.
-func (u *upstream) pauseWork(now clock.Millis) {
-	u.pause = min(max(2*u.pause, minPause), maxPause)
-	u.pausedUntil = now + u.pause
-}
-
 // expectedAttempts returns the expected number of attempts until a request
 // succeeds here.
 func (u *upstream) expectedAttempts() float64 { return 1 / (1 - min(u.failureRate, maxFailureRate)) }
