Take failures that a daemon reports as evidence about its own links

What callers saw: while part of the daemons had lost their links to all upstreams, callers of the other daemons were refused too, and for up to 16 s after the cut. Cause: a daemon that can't reach an upstream reports that the upstream died. The scheduler paused it for the whole fleet, and each further report doubled the pause. Change: a failure is evidence about the pair of daemon and upstream. It isn't believed of the upstream if the upstream answered another daemon after the attempt had got its slot. Failures at two upstreams without an answer between, or repeated ones that are contradicted, are those of the daemon's links: its pauses are taken back, its reports don't pause, its asks wait outside of the queue and get two slots for trials, one a second, and all such daemons together an eighth of the slots. Once others are known to be answered where it failed, its asks are refused at once, and attempts that hang for a dial's timeout are withdrawn and their slots freed. The first answer to the daemon ends all of this; what failed just before and answered nobody since is paused then. Nothing is kept of a daemon that gets answers or is gone. Each change of belief is logged once. Test: 8 daemons, 5 of them cut, 1, 3 and 9 upstreams, dials that time out or are refused and attempts that hang. Now they get 99 % in both times. Conclusion: daemons that are cut off no longer stop the others. Their own callers need a way past them.

--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -284,7 +284,7 @@
 			r.sendWithdrawal(e)
 		case scheduler.NoticeChanged:
 			r.broadcastNotice(e)
-		case scheduler.UpstreamPaused, scheduler.UpstreamEjected:
+		case scheduler.UpstreamPaused, scheduler.UpstreamEjected, scheduler.LinksChanged:
 			r.logBelief(e)
 		case scheduler.LowestTier:
 			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 
 	"yuccaspread/common/clock"
@@ -31,15 +30,30 @@
 		return
 	}
 	a.entry = queuer.Entry[*ask]{Organisation: m.Organisation, Kind: m.Route, Cost: max(eval.minTotalMS, 1), Value: a}
-	s.recordOffer(a, eval.minTotalMS)
 	a.assignLane(s.now, eval.minTotalMS, eval.minFirstTokenMS)
 	s.addAsk(a)
+	if l := s.linksOf(m.ID.Daemon); l != nil && l.cutOff {
+		s.hold(l, a)
+		return
+	}
+	s.recordOffer(a, eval.minTotalMS)
+	s.enqueueOrRefuse(a)
+}
+
+// enqueueOrRefuse adds an ask to its lane, or refuses it if its caller would leave before its turn.
+func (s *State) enqueueOrRefuse(a *ask) {
 	if !s.enqueue(a) {
 		s.recordShed(a)
 		s.refuse(a, ReasonDeadline)
 	}
 }
 
+// forget drops an ask that has ended.
+func (s *State) forget(a *ask) {
+	delete(s.asks, a.ID)
+	a.endTrial()
+}
+
 // newAsk returns an ask that arrives now, with its output length estimated.
 func (s *State) newAsk(m Ask) *ask {
 	m.Tier = min(max(m.Tier, 0), maxTier)
@@ -83,14 +97,18 @@
 		s.release(a)
 		return
 	}
-	s.queue.Remove(&a.entry)
-	delete(s.asks, m.ID)
+	if a.held {
+		s.unhold(a)
+	} else {
+		s.queue.Remove(&a.entry)
+	}
+	s.forget(a)
 }
 
 // refuse ends an ask that is no longer in the queue and tells its caller when to
 // retry.
 func (s *State) refuse(a *ask, reason Reason) {
-	delete(s.asks, a.ID)
+	s.forget(a)
 	retryAfter := s.pace.drainTime(s.queue.Len())
 	waiting := s.queue.Waiting(a.entry.Tier)
 	waitMS := s.pace.expectedWaitMS(s.now, a.entry.Tier, waiting)
@@ -122,14 +140,10 @@
 }
 
 func (s *State) handleDaemonGone(m DaemonGone) {
-	var gone []*ask
-	for id, a := range s.asks {
-		if id.Daemon == m.Daemon {
-			gone = append(gone, a)
-		}
-	}
-	slices.SortFunc(gone, func(a, b *ask) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
-	for _, a := range gone {
+	for _, a := range s.asksOf(m.Daemon) {
 		s.handleCancel(Cancel{ID: a.ID})
 	}
+	if i, found := s.searchLinks(m.Daemon); found {
+		s.links = slices.Delete(s.links, i, i+1)
+	}
 }
--- /dev/null
+++ b/daemon/scheduler/links_test.go
@@ -0,0 +1,387 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"yuccaspread/common/clock"
+	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/scheduler"
+)
+
+// fault is what becomes of an attempt.
+type fault int
+
+const (
+	noFault fault = iota
+	// dialTimesOut ends the attempt, not sent, after the timeout of a dial, and dialRefused at once.
+	dialTimesOut
+	dialRefused
+	// hangs ends it when its caller leaves.
+	hangs
+)
+
+// Times of the attempts of a fleet.
+const (
+	firstTokenTime = 50 * clock.Millisecond
+	answerTime     = 200 * clock.Millisecond
+	dialTimeout    = 1 * clock.Second
+	callerPatience = 5 * clock.Second
+	fleetStep      = 10 * clock.Millisecond
+	// maxTries is the number of attempts of one request.
+	maxTries = 2
+)
+
+// fleetRequest is one request of a fleet.
+type fleetRequest struct {
+	daemon             int
+	arrivedAt, tokenAt clock.Millis
+	endAt              clock.Millis
+	upstream           string
+	how                fault
+	excluded           []string
+}
+
+// fleet plays daemons that ask a scheduler, each every askEvery.
+type fleet struct {
+	*harness
+	daemons  int
+	askEvery clock.Millis
+	// faultOf returns what becomes of an attempt that starts now.
+	faultOf func(daemon int, upstream string) fault
+	open    map[uint64]*fleetRequest
+	next    uint64
+	// served counts the answers whose requests arrived from countFrom on, by daemon.
+	served    []int
+	countFrom clock.Millis
+	// maxHeld is the most slots that a daemon had at once from a second after countFrom on, without an answer to come, and
+	// attempts counts its attempts since then that failed.
+	maxHeld, attempts []int
+}
+
+func newFleet(daemons int, slots ...int) *fleet {
+	return &fleet{
+		harness: newHarness(slots...), daemons: daemons, askEvery: 50 * clock.Millisecond, open: map[uint64]*fleetRequest{},
+		faultOf: func(int, string) fault { return noFault }, served: make([]int, daemons), maxHeld: make([]int, daemons),
+		attempts: make([]int, daemons),
+	}
+}
+
+func daemonName(daemon int) string { return fmt.Sprintf("d%d", daemon) }
+
+func (f *fleet) id(number uint64) scheduler.AskID {
+	return scheduler.AskID{Daemon: daemonName(f.open[number].daemon), Number: number}
+}
+
+// ask asks for a request.
+func (f *fleet) ask(r *fleetRequest) {
+	f.next++
+	f.open[f.next] = r
+	a := f.newAsk(f.next, 0)
+	a.ID, a.Patience, a.Deadline, a.Excluded = f.id(f.next), r.arrivedAt+callerPatience, r.arrivedAt+2*callerPatience, r.excluded
+	f.send(a)
+}
+
+// runUntil plays the fleet until a time and counts from countFrom on.
+func (f *fleet) runUntil(until, countFrom clock.Millis) {
+	f.countFrom = countFrom
+	clear(f.served)
+	clear(f.maxHeld)
+	clear(f.attempts)
+	for ; f.now < until; f.now += fleetStep {
+		for daemon := range f.daemons {
+			if (f.now+clock.Millis(daemon)*fleetStep)%f.askEvery == 0 {
+				f.ask(&fleetRequest{daemon: daemon, arrivedAt: f.now})
+			}
+		}
+		f.send(scheduler.Tick{})
+		f.takeResults()
+		for _, n := range slices.Sorted(maps.Keys(f.open)) {
+			f.step(n)
+		}
+		f.countHeld()
+	}
+}
+
+// takeResults starts the attempts that were granted and drops the requests that were refused.
+func (f *fleet) takeResults() {
+	for _, n := range slices.Sorted(maps.Keys(f.granted)) {
+		r := f.open[n]
+		r.upstream = f.granted[n]
+		r.how = f.faultOf(r.daemon, r.upstream)
+		switch r.how {
+		case noFault:
+			r.tokenAt, r.endAt = f.now+firstTokenTime, f.now+answerTime
+		case dialTimesOut:
+			r.endAt = f.now + dialTimeout
+		case dialRefused:
+			r.endAt = f.now + fleetStep
+		case hangs:
+			r.endAt = r.arrivedAt + callerPatience
+		}
+		f.send(scheduler.Confirm{ID: f.id(n)})
+	}
+	clear(f.granted)
+	for n := range f.refused {
+		delete(f.open, n)
+	}
+	clear(f.refused)
+}
+
+// step moves one request on.
+func (f *fleet) step(n uint64) {
+	r := f.open[n]
+	if r.upstream == "" {
+		return
+	}
+	if r.how == noFault && r.tokenAt == f.now {
+		f.send(scheduler.FirstToken{ID: f.id(n)})
+	}
+	if f.now < r.endAt {
+		return
+	}
+	usage := reserver.Usage{Outcome: reserver.Completed, OutputTokens: 10}
+	switch r.how {
+	case noFault:
+		if r.arrivedAt >= f.countFrom {
+			f.served[r.daemon]++
+		}
+	case dialTimesOut, dialRefused:
+		usage = reserver.Usage{Outcome: reserver.UpstreamDied}
+	case hangs:
+		usage = reserver.Usage{Outcome: reserver.Cancelled}
+	}
+	if r.how != noFault && f.now >= f.countFrom {
+		f.attempts[r.daemon]++
+	}
+	f.send(scheduler.End{ID: f.id(n), Usage: usage})
+	delete(f.open, n)
+	if r.how == dialTimesOut || r.how == dialRefused {
+		if again := append(slices.Clone(r.excluded), r.upstream); len(again) < maxTries {
+			f.ask(&fleetRequest{daemon: r.daemon, arrivedAt: r.arrivedAt, excluded: again})
+		}
+	}
+}
+
+// countHeld records the slots that each daemon has without an answer.
+func (f *fleet) countHeld() {
+	if f.now < f.countFrom+clock.Second {
+		return
+	}
+	held := make([]int, f.daemons)
+	for n, r := range f.open {
+		if r.upstream != "" && r.how != noFault && !f.withdrawn[n] {
+			held[r.daemon]++
+		}
+	}
+	for daemon, n := range held {
+		f.maxHeld[daemon] = max(f.maxHeld[daemon], n)
+	}
+}
+
+// Times of a cut, and from when on after its begin and its end everything is as without it: a dial
+// that times out and the next trial.
+const (
+	cutBegin   = 5 * clock.Second
+	cutEnd     = 17 * clock.Second
+	settleTime = 2500 * clock.Millisecond
+)
+
+// cutOffFrom returns the faults of a cut of a fleet's daemons from one on.
+func (f *fleet) cutOffFrom(from int, how fault) func(int, string) fault {
+	return func(daemon int, _ string) fault {
+		switch {
+		case daemon < from || f.now < cutBegin || f.now >= cutEnd:
+			return noFault
+		case how == hangs && f.next%3 == 0:
+			return dialTimesOut
+		default:
+			return how
+		}
+	}
+}
+
+// TestDaemonsWithoutPathDontStopOthers guards against daemons that lost their links to all upstreams
+// and take the room of those that reach them, during the cut and after it.
+func TestDaemonsWithoutPathDontStopOthers(t *testing.T) {
+	shards := map[string][]int{"one upstream": {40}, "three upstreams": {15, 15, 15}, "nine upstreams": {5, 5, 5, 5, 5, 5, 5, 5, 5}}
+	hows := map[string]fault{"dials time out": dialTimesOut, "dials are refused": dialRefused, "attempts hang": hangs}
+	for shard, slots := range shards {
+		for name, how := range hows {
+			t.Run(shard+", "+name, func(t *testing.T) {
+				const daemons, sound = 8, 3
+				f, calm := newFleet(daemons, slots...), newFleet(daemons, slots...)
+				f.faultOf = f.cutOffFrom(sound, how)
+				for _, span := range [][2]clock.Millis{{cutEnd, cutBegin + settleTime}, {cutEnd + 6*clock.Second, cutEnd + settleTime}} {
+					f.runUntil(span[0], span[1])
+					calm.runUntil(span[0], span[1])
+					for daemon := range daemons {
+						if (daemon < sound || span[1] > cutEnd) && f.served[daemon]*100 < calm.served[daemon]*99 {
+							t.Errorf("from %d ms on, daemon %d got %d answers, %d without the cut", span[1], daemon, f.served[daemon], calm.served[daemon])
+						}
+						if f.maxHeld[daemon] > 2 {
+							t.Errorf("from %d ms on, daemon %d held %d slots without an answer", span[1], daemon, f.maxHeld[daemon])
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// deadFrom returns the faults of upstreams that no daemon reaches during a cut.
+func (f *fleet) deadFrom(how fault, upstreams ...string) func(int, string) fault {
+	return func(_ int, upstream string) fault {
+		if f.now >= cutBegin && f.now < cutEnd && slices.Contains(upstreams, upstream) {
+			return how
+		}
+		return noFault
+	}
+}
+
+// TestDeadUpstreamsAreThoseOfAll guards against upstreams that are dead for all daemons and are taken for
+// links of the daemons, so that they get work on and on or the daemons none.
+func TestDeadUpstreamsAreThoseOfAll(t *testing.T) {
+	for _, how := range []fault{dialRefused, dialTimesOut} {
+		for _, dead := range [][]string{{"u1"}, {"u1", "u4"}, {"u0", "u1", "u2"}} {
+			const daemons = 8
+			slots := []int{5, 5, 5, 5, 5, 5, 5, 5, 5}
+			f, calm := newFleet(daemons, slots...), newFleet(daemons, slots...)
+			f.askEvery, calm.askEvery = 80*clock.Millisecond, 80*clock.Millisecond
+			f.faultOf = f.deadFrom(how, dead...)
+			f.runUntil(cutEnd, cutBegin+settleTime)
+			calm.runUntil(cutEnd, cutBegin+settleTime)
+			failed := 0
+			for daemon := range daemons {
+				failed += f.attempts[daemon]
+				if f.served[daemon]*100 < calm.served[daemon]*99 {
+					t.Errorf("%v dead (%d): daemon %d got %d answers, %d without", dead, how, daemon, f.served[daemon], calm.served[daemon])
+				}
+			}
+			// All daemons together try a dead upstream once in a pause, and may do so at the same time.
+			if most := len(dead) * daemons * int((cutEnd-cutBegin)/clock.Second) / 2; failed > most {
+				t.Errorf("%v dead (%d): %d attempts failed, want at most %d", dead, how, failed, most)
+			}
+		}
+	}
+}
+
+// TestAllUpstreamsDeadAreTriedAtLength guards against daemons that go on with all attempts while no upstream
+// answers any of them, and against the time after that.
+func TestAllUpstreamsDeadAreTriedAtLength(t *testing.T) {
+	for _, daemons := range []int{1, 8} {
+		f, calm := newFleet(daemons, 15, 15, 15), newFleet(daemons, 15, 15, 15)
+		f.faultOf = f.deadFrom(dialRefused, "u0", "u1", "u2")
+		f.runUntil(cutEnd, cutBegin+clock.Second)
+		for daemon := range daemons {
+			if most := 2 * int((cutEnd-cutBegin)/clock.Second); f.attempts[daemon] > most {
+				t.Errorf("%d daemons: daemon %d made %d attempts, want at most %d", daemons, daemon, f.attempts[daemon], most)
+			}
+		}
+		f.runUntil(cutEnd+6*clock.Second, cutEnd+settleTime)
+		calm.runUntil(cutEnd+6*clock.Second, cutEnd+settleTime)
+		for daemon := range daemons {
+			if f.served[daemon]*100 < calm.served[daemon]*99 {
+				t.Errorf("%d daemons: daemon %d got %d answers afterwards, %d without", daemons, daemon, f.served[daemon], calm.served[daemon])
+			}
+		}
+	}
+}
+
+// ofDaemon returns an ask of a daemon.
+func (h *harness) ofDaemon(daemon string, number uint64) scheduler.Ask {
+	a := h.newAsk(number, 0)
+	a.ID.Daemon = daemon
+	return a
+}
+
+// failEach lets a daemon fail with one attempt at each of the two upstreams of a harness.
+func (h *harness) failEach(daemon string, first uint64) {
+	for n := first; n < first+2; n++ {
+		a := h.ofDaemon(daemon, n)
+		if n > first {
+			a.Excluded = []string{h.granted[first]}
+		}
+		h.send(a, scheduler.End{ID: a.ID, Usage: reserver.Usage{Outcome: reserver.UpstreamDied}})
+	}
+}
+
+// TestGoneDaemonIsForgotten guards against what is believed of the links of a daemon that is gone, and against
+// asks of it that still wait.
+func TestGoneDaemonIsForgotten(t *testing.T) {
+	h := newHarness(8, 8)
+	h.failEach("d", 1)
+	if !h.cutOff["d"] {
+		t.Fatal("a daemon whose attempts failed at both upstreams is not taken to be cut off")
+	}
+	for n := range uint64(8) {
+		h.send(h.newAsk(10+n, 0))
+	}
+	if len(h.granted) > 3 {
+		t.Fatalf("a daemon that is cut off got %v", h.granted)
+	}
+	h.send(scheduler.DaemonGone{Daemon: "d"})
+	h.advance(10 * clock.Second)
+	if len(h.granted) > 3 {
+		t.Fatalf("asks of a daemon that is gone got %v", h.granted)
+	}
+	for n := range uint64(8) {
+		h.send(h.newAsk(30+n, 0))
+	}
+	if h.granted[37] == "" {
+		t.Fatalf("a daemon that came back got %v", h.granted)
+	}
+}
+
+// TestHeldAsksMayBeCancelled guards against asks outside of the queue that are cancelled or wait too long.
+func TestHeldAsksMayBeCancelled(t *testing.T) {
+	h := newHarness(8, 8)
+	h.failEach("d", 1)
+	impatient := h.newAsk(12, 0)
+	impatient.Patience = h.now + 300
+	h.send(h.newAsk(10, 0), h.newAsk(11, 0), impatient, h.newAsk(13, 0), scheduler.Cancel{ID: askID(11)})
+	h.advance(400)
+	if _, refused := h.refused[12]; !refused || h.granted[10] == "" || h.granted[13] != "" {
+		t.Fatalf("granted %v, refused %v", h.granted, h.refused)
+	}
+	h.send(scheduler.FirstToken{ID: askID(10)})
+	if h.granted[11] != "" || h.granted[13] == "" || h.cutOff["d"] {
+		t.Fatalf("after an answer: granted %v", h.granted)
+	}
+}
+
+// TestAnnouncedAttemptsThatHangAreFreed guards against a new scheduler whose slots are held by attempts that
+// began before it.
+func TestAnnouncedAttemptsThatHangAreFreed(t *testing.T) {
+	h := newHarness(4, 4)
+	for n := range uint64(6) {
+		h.send(scheduler.Announce{Ask: h.ofDaemon("d", n), Upstream: fmt.Sprintf("u%d", n%2)})
+	}
+	for n := uint64(10); n < 40; n++ {
+		h.send(h.ofDaemon("e", n))
+		h.advance(100)
+		h.send(scheduler.FirstToken{ID: scheduler.AskID{Daemon: "e", Number: n}})
+		h.send(scheduler.End{ID: scheduler.AskID{Daemon: "e", Number: n}, Usage: reserver.Usage{Outcome: reserver.Completed, OutputTokens: 5}})
+	}
+	if len(h.withdrawn) != 6 {
+		t.Fatalf("of 6 attempts that hang, %v were withdrawn", h.withdrawn)
+	}
+	for n := uint64(50); n < 60; n++ {
+		h.send(h.ofDaemon("e", n))
+	}
+	if h.granted[57] == "" || h.granted[58] != "" {
+		t.Fatalf("granted %v", h.granted)
+	}
+	h.send(scheduler.FirstToken{ID: askID(0)})
+	for n := uint64(50); n < 58; n++ {
+		if h.granted[n] == "u0" {
+			h.send(scheduler.End{ID: scheduler.AskID{Daemon: "e", Number: n}})
+			break
+		}
+	}
+	if h.cutOff["d"] || h.granted[58] != "" {
+		t.Fatalf("after a late answer on u0: granted %v, cut off %v", h.granted, h.cutOff)
+	}
+}
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -246,7 +246,8 @@
 	Wait    clock.Millis `json:"wait_ms,omitempty"`
 }
 
-// Withdraw asks for the cancellation of a running lower-tier request.
+// Withdraw asks for the cancellation of a request that hangs at a daemon without a path to its
+// upstream. Its slot goes to another ask.
 type Withdraw struct {
 	ID AskID `json:"id"`
 }
@@ -275,6 +276,22 @@
 	Upstream string `json:"upstream"`
 }
 
+// LinksChanged reports that a daemon is taken to have no path to the shard's upstreams, or, if CutOff is
+// unset, that it has got an answer again.
+type LinksChanged struct {
+	Daemon string `json:"daemon"`
+	CutOff bool   `json:"cut_off"`
+	// Confirmed is set once other daemons have got answers where this one failed.
+	Confirmed bool `json:"confirmed"`
+	// Failed is the number of upstreams at which it failed without an answer between, and Contradicted
+	// that of those which answered other daemons meanwhile.
+	Failed       int `json:"failed"`
+	Contradicted int `json:"contradicted"`
+	// Lasted is how long it was taken to be cut off.
+	Lasted clock.Millis `json:"lasted_ms,omitempty"`
+}
+
+func (LinksChanged) effect()    {}
 func (NoticeChanged) effect()   {}
 func (Grant) effect()           {}
 func (Refuse) effect()          {}
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -218,6 +218,7 @@
 	s.queue.Serve(&a.entry)
 	a.cachedTokens = eval.bestWork.CachedTokens
 	a.prefillMS = eval.bestTimes.PrefillMS
+	a.firstTokenMS = eval.bestTimes.FirstTokenMS
 	a.isProbe = u.straggler.Ejected()
 	if a.isProbe {
 		u.straggler.StartProbe(s.now)
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -58,6 +58,10 @@
 	if a == nil || a.upstream == nil || a.firstTokenAt != 0 {
 		return
 	}
+	s.recordAnswer(a)
+	if a.discounted && !s.recount(a) {
+		return
+	}
 	u := a.upstream
 	a.confirmed = true
 	a.firstTokenAt = s.now
@@ -69,12 +73,15 @@
 	case a.cachedTokens > 0:
 		u.cacheAccuracy.learn(a.cachedTokens, cached)
 	}
-	s.learnPrefill(a, cached)
+	if !a.hung {
+		s.learnPrefill(a, cached)
+	}
 	s.index.Store(a.PrefixHashes, u.bit)
 	s.finishPrefill(a)
 	a.runningIntegral = u.runningIntegralAt(s.now)
 	u.pausedUntil = 0
 	u.pause = 0
+	u.pausedBy = ""
 }
 
 // finishPrefill removes an ask's prompt from the pending prefills of its
@@ -117,17 +124,22 @@
 		return
 	}
 	u := a.upstream
-	u.recordOutcome(m.Usage.Outcome)
 	s.hearTold(u, m.Told)
+	believed := s.judgeEnd(a, m.Usage.Outcome)
+	if believed {
+		u.recordOutcome(m.Usage.Outcome)
+	}
 	switch m.Usage.Outcome {
 	case reserver.Completed:
 		s.learnGap(a, m.Usage.OutputTokens)
 		u.tentative = false
 		s.learnLength(a, m.Usage.OutputTokens)
 	case reserver.UpstreamDied:
-		s.pauseWork(u, a)
+		if believed {
+			s.pauseWork(u, a)
+		}
 	case reserver.ConnectionBroken:
-		if u.consecutiveBreaks >= breaksBeforePause {
+		if believed && u.consecutiveBreaks >= breaksBeforePause {
 			s.pauseWork(u, a)
 		}
 	case reserver.NotSent:
@@ -144,6 +156,7 @@
 	last, wasPaused := u.pause, s.now < u.pausedUntil
 	u.pause = min(max(2*last, minPause), maxPause)
 	u.pausedUntil = s.now + u.pause
+	u.pausedBy = a.ID.Daemon
 	if !wasPaused || u.pause > last {
 		s.emit(UpstreamPaused{Upstream: u.Name, ID: a.ID, Pause: u.pause})
 	}
@@ -197,6 +210,17 @@
 
 // release frees the slot of a granted ask and removes the ask.
 func (s *State) release(a *ask) {
+	if !a.discounted {
+		s.freeSlot(a)
+	}
+	s.forget(a)
+	if u := a.upstream; !u.listed && u.running == 0 {
+		s.dropUpstreams()
+	}
+}
+
+// freeSlot frees the slot of a granted ask.
+func (s *State) freeSlot(a *ask) {
 	u := a.upstream
 	if a.firstTokenAt == 0 {
 		s.finishPrefill(a)
@@ -206,10 +230,6 @@
 	}
 	u.addRunning(s.now, -1)
 	u.tokens -= a.PromptTokens + a.expectedOutput
-	delete(s.asks, a.ID)
-	if !u.listed && u.running == 0 {
-		s.dropUpstreams()
-	}
 }
 
 // recordSlowdown records the ratio of a measured time to the expected one, and
@@ -267,6 +287,7 @@
 	a.prefillMS = u.speed.Prefill.At(float64(m.Ask.PromptTokens))
 	s.addAsk(a)
 	s.occupySlot(a, u)
+	a.firstTokenMS = a.prefillMS
 	s.index.Store(a.PrefixHashes, u.bit)
 	if m.FirstToken {
 		s.finishPrefill(a)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -68,6 +68,10 @@
 	divided bool
 	region  region
 	pace    pace
+
+	// links are the daemons with failures since their last answer, sorted by name.
+	links         []*links
+	nextHangCheck clock.Millis
 }
 
 // ask is an ask with its state.
@@ -101,6 +105,15 @@
 	runningIntegral float64
 	// onCold is set if the upstream was cold when the slot was granted.
 	onCold bool
+	// firstTokenMS is the expected time from the grant to the first token.
+	firstTokenMS float64
+	// held is set while the ask waits outside of the queue, and trialOf is not nil while it tries the links
+	// of its daemon.
+	held    bool
+	trialOf *links
+	// hung is set once the ask counts as a failure of its daemon's links, and discounted while it occupies
+	// no slot.
+	hung, discounted bool
 	// isProbe is set if the ask probes an ejected upstream. slowdown is the largest
 	// ratio of a measured time to the expected one, 0 while there is none.
 	isProbe  bool
@@ -115,6 +128,7 @@
 	s.handle(m)
 	s.expireGrants()
 	s.shedOverdue()
+	s.releaseTrials()
 	s.dispatch()
 	s.announceLowest()
 	return s.effects
@@ -159,6 +173,7 @@
 		s.region.handleReport(s.now, m)
 	case Tick:
 		s.checkUpstreams()
+		s.checkHangs()
 		s.guarantor.Refresh(s.now)
 	}
 }
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -26,10 +26,12 @@
 	draining bool
 	foreign  foreignLoad
 	down     bool
-	// pausedUntil is when it gets work again after its connections broke, and
-	// pause the length of the last pause.
+	// pausedUntil is when it gets work again after its connections broke, pause the
+	// length of the last pause and pausedBy the daemon that caused it.
 	pausedUntil clock.Millis
 	pause       clock.Millis
+	pausedBy    string
+	answers     answers
 
 	// consecutiveBreaks counts the broken connections since the last
 	// completed answer.
