Don't lengthen a pause for attempts that began before it

What callers saw: an upstream that was away for a moment, or reported so by daemons that were cut off, got no work for up to 16 s. Cause: each attempt that was under way when an upstream died reports it, and each report doubled the pause. Change: attempts whose slots were granted before the last pause began tell nothing new. Test on the old code: an upstream at which 5 attempts ended within 0.5 s was still paused after 1.2 s. A later attempt that fails doubles the pause as before.

--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -230,7 +230,7 @@
 	for _, f := range l.failures {
 		u := s.findUpstream(f.upstream)
 		if end := f.at + minPause; u != nil && !f.contradicted && u.answers.last.at < f.at && end > max(s.now, u.pausedUntil) {
-			u.pause, u.pausedUntil, u.pausedBy = max(u.pause, minPause), end, daemon
+			u.pause, u.pausedAt, u.pausedUntil, u.pausedBy = max(u.pause, minPause), s.now, end, daemon
 			s.emit(UpstreamPaused{Upstream: u.Name, ID: AskID{Daemon: daemon}, Pause: end - s.now})
 		}
 	}
--- a/daemon/scheduler/links_test.go
+++ b/daemon/scheduler/links_test.go
@@ -385,3 +385,33 @@
 		t.Fatalf("after a late answer on u0: granted %v, cut off %v", h.granted, h.cutOff)
 	}
 }
+
+// TestAttemptsOfOneFaultPauseOnce guards against a pause that each of the attempts doubles that were under way
+// when an upstream died, and against pauses that don't grow while it stays dead.
+func TestAttemptsOfOneFaultPauseOnce(t *testing.T) {
+	died := func(n uint64) scheduler.Message {
+		return scheduler.End{ID: askID(n), Usage: reserver.Usage{Outcome: reserver.UpstreamDied}}
+	}
+	h := newHarness(8)
+	for n := range uint64(5) {
+		h.send(h.newAsk(n, 0))
+	}
+	for n := range uint64(5) {
+		h.send(died(n))
+		h.advance(100)
+	}
+	h.send(h.newAsk(10, 0))
+	h.advance(700)
+	if h.granted[10] == "" {
+		t.Fatal("an upstream that died once is still paused after 1.2 s")
+	}
+	h.send(died(10), h.newAsk(11, 0))
+	h.advance(1500)
+	if h.granted[11] != "" {
+		t.Fatal("an upstream that is still dead got work after 1.5 s")
+	}
+	h.advance(500)
+	if h.granted[11] == "" {
+		t.Fatal("an upstream that is still dead was not tried after 2 s")
+	}
+}
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -151,12 +151,15 @@
 }
 
 // pauseWork keeps new requests from an upstream for twice the last pause, within its bounds,
-// because of how an ask ended there.
+// because of how an ask ended there. Attempts that were under way when a pause began tell nothing new.
 func (s *State) pauseWork(u *upstream, a *ask) {
+	if a.grantedAt <= u.pausedAt {
+		return
+	}
 	last, wasPaused := u.pause, s.now < u.pausedUntil
 	u.pause = min(max(2*last, minPause), maxPause)
 	u.pausedUntil = s.now + u.pause
-	u.pausedBy = a.ID.Daemon
+	u.pausedAt, u.pausedBy = s.now, a.ID.Daemon
 	if !wasPaused || u.pause > last {
 		s.emit(UpstreamPaused{Upstream: u.Name, ID: a.ID, Pause: u.pause})
 	}
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -26,9 +26,10 @@
 	draining bool
 	foreign  foreignLoad
 	down     bool
-	// pausedUntil is when it gets work again after its connections broke, pause the
-	// length of the last pause and pausedBy the daemon that caused it.
+	// pausedUntil is when it gets work again after its connections broke, pausedAt when
+	// the last pause began, pause its length and pausedBy the daemon that caused it.
 	pausedUntil clock.Millis
+	pausedAt    clock.Millis
 	pause       clock.Millis
 	pausedBy    string
 	answers     answers
