Merge the judgement of daemons' links by schedulers

A failure that a daemon reports counts as evidence about the pair of daemon and upstream; daemons that are cut off no longer stop the others.

--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -246,7 +246,8 @@
 	Wait    clock.Millis `json:"wait_ms,omitempty"`
 }
 
-// Withdraw asks for the cancellation of a running lower-tier request.
+// Withdraw asks for the cancellation of a request that hangs at a daemon without a path to its
+// upstream. Its slot goes to another ask.
 type Withdraw struct {
 	ID AskID `json:"id"`
 }
@@ -261,8 +262,40 @@
 // none any more, or that it is about to stop.
 type NoticeChanged Notice
 
-func (NoticeChanged) effect() {}
-func (Grant) effect()         {}
-func (Refuse) effect()        {}
-func (Withdraw) effect()      {}
-func (LowestTier) effect()    {}
+// UpstreamPaused reports that an upstream gets no work for the time of a pause, or for a longer one
+// than before, because of how a request ended there.
+type UpstreamPaused struct {
+	Upstream string `json:"upstream"`
+	// ID is the ask whose end was reported.
+	ID    AskID        `json:"id"`
+	Pause clock.Millis `json:"pause_ms"`
+}
+
+// UpstreamEjected reports that an upstream gets nothing but probes because it is slow.
+type UpstreamEjected struct {
+	Upstream string `json:"upstream"`
+}
+
+// LinksChanged reports that a daemon is taken to have no path to the shard's upstreams, or, if CutOff is
+// unset, that it has got an answer again.
+type LinksChanged struct {
+	Daemon string `json:"daemon"`
+	CutOff bool   `json:"cut_off"`
+	// Confirmed is set once other daemons have got answers where this one failed.
+	Confirmed bool `json:"confirmed"`
+	// Failed is the number of upstreams at which it failed without an answer between, and Contradicted
+	// that of those which answered other daemons meanwhile.
+	Failed       int `json:"failed"`
+	Contradicted int `json:"contradicted"`
+	// Lasted is how long it was taken to be cut off.
+	Lasted clock.Millis `json:"lasted_ms,omitempty"`
+}
+
+func (LinksChanged) effect()    {}
+func (NoticeChanged) effect()   {}
+func (Grant) effect()           {}
+func (Refuse) effect()          {}
+func (Withdraw) effect()        {}
+func (LowestTier) effect()      {}
+func (UpstreamPaused) effect()  {}
+func (UpstreamEjected) effect() {}
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -58,6 +58,10 @@
 	if a == nil || a.upstream == nil || a.firstTokenAt != 0 {
 		return
 	}
+	s.recordAnswer(a)
+	if a.discounted && !s.recount(a) {
+		return
+	}
 	u := a.upstream
 	a.confirmed = true
 	a.firstTokenAt = s.now
@@ -69,12 +73,15 @@
 	case a.cachedTokens > 0:
 		u.cacheAccuracy.learn(a.cachedTokens, cached)
 	}
-	s.learnPrefill(a, cached)
+	if !a.hung {
+		s.learnPrefill(a, cached)
+	}
 	s.index.Store(a.PrefixHashes, u.bit)
 	s.finishPrefill(a)
 	a.runningIntegral = u.runningIntegralAt(s.now)
 	u.pausedUntil = 0
 	u.pause = 0
+	u.pausedBy = ""
 }
 
 // finishPrefill removes an ask's prompt from the pending prefills of its
@@ -117,18 +124,23 @@
 		return
 	}
 	u := a.upstream
-	u.recordOutcome(m.Usage.Outcome)
 	s.hearTold(u, m.Told)
+	believed := s.judgeEnd(a, m.Usage.Outcome)
+	if believed {
+		u.recordOutcome(m.Usage.Outcome)
+	}
 	switch m.Usage.Outcome {
 	case reserver.Completed:
 		s.learnGap(a, m.Usage.OutputTokens)
 		u.tentative = false
 		s.learnLength(a, m.Usage.OutputTokens)
 	case reserver.UpstreamDied:
-		u.pauseWork(s.now)
+		if believed {
+			s.pauseWork(u, a)
+		}
 	case reserver.ConnectionBroken:
-		if u.consecutiveBreaks >= breaksBeforePause {
-			u.pauseWork(s.now)
+		if believed && u.consecutiveBreaks >= breaksBeforePause {
+			s.pauseWork(u, a)
 		}
 	case reserver.NotSent:
 		u.limit.allowance.Return()
@@ -138,6 +150,21 @@
 	s.release(a)
 }
 
+// pauseWork keeps new requests from an upstream for twice the last pause, within its bounds,
+// because of how an ask ended there. Attempts that were under way when a pause began tell nothing new.
+func (s *State) pauseWork(u *upstream, a *ask) {
+	if a.grantedAt <= u.pausedAt {
+		return
+	}
+	last, wasPaused := u.pause, s.now < u.pausedUntil
+	u.pause = min(max(2*last, minPause), maxPause)
+	u.pausedUntil = s.now + u.pause
+	u.pausedAt, u.pausedBy = s.now, a.ID.Daemon
+	if !wasPaused || u.pause > last {
+		s.emit(UpstreamPaused{Upstream: u.Name, ID: a.ID, Pause: u.pause})
+	}
+}
+
 // learnLength records the output length of a completed answer, in tokens.
 func (s *State) learnLength(a *ask, outputTokens int) {
 	if s.lengthSeenAt == nil {
@@ -186,6 +213,17 @@
 
 // release frees the slot of a granted ask and removes the ask.
 func (s *State) release(a *ask) {
+	if !a.discounted {
+		s.freeSlot(a)
+	}
+	s.forget(a)
+	if u := a.upstream; !u.listed && u.running == 0 {
+		s.dropUpstreams()
+	}
+}
+
+// freeSlot frees the slot of a granted ask.
+func (s *State) freeSlot(a *ask) {
 	u := a.upstream
 	if a.firstTokenAt == 0 {
 		s.finishPrefill(a)
@@ -195,10 +233,6 @@
 	}
 	u.addRunning(s.now, -1)
 	u.tokens -= a.PromptTokens + a.expectedOutput
-	delete(s.asks, a.ID)
-	if !u.listed && u.running == 0 {
-		s.dropUpstreams()
-	}
 }
 
 // recordSlowdown records the ratio of a measured time to the expected one, and
@@ -219,6 +253,7 @@
 	}
 	if float64(ejected+1) <= s.limits.WithDefaults().EjectShare*float64(listed) {
 		u.straggler.Eject(s.now)
+		s.emit(UpstreamEjected{Upstream: u.Name})
 	}
 }
 
@@ -255,6 +290,7 @@
 	a.prefillMS = u.speed.Prefill.At(float64(m.Ask.PromptTokens))
 	s.addAsk(a)
 	s.occupySlot(a, u)
+	a.firstTokenMS = a.prefillMS
 	s.index.Store(a.PrefixHashes, u.bit)
 	if m.FirstToken {
 		s.finishPrefill(a)
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -26,10 +26,13 @@
 	draining bool
 	foreign  foreignLoad
 	down     bool
-	// pausedUntil is when it gets work again after its connections broke, and
-	// pause the length of the last pause.
+	// pausedUntil is when it gets work again after its connections broke, pausedAt when
+	// the last pause began, pause its length and pausedBy the daemon that caused it.
 	pausedUntil clock.Millis
+	pausedAt    clock.Millis
 	pause       clock.Millis
+	pausedBy    string
+	answers     answers
 
 	// consecutiveBreaks counts the broken connections since the last
 	// completed answer.
@@ -125,13 +128,6 @@
 	u.failureRate += failureWeight * (failure - u.failureRate)
 }
 
-// pauseWork keeps new requests from the upstream for twice the last pause, within
-// its bounds.
-func (u *upstream) pauseWork(now clock.Millis) {
-	u.pause = min(max(2*u.pause, minPause), maxPause)
-	u.pausedUntil = now + u.pause
-}
-
 // expectedAttempts returns the expected number of attempts until a request
 // succeeds here.
 func (u *upstream) expectedAttempts() float64 { return 1 / (1 - min(u.failureRate, maxFailureRate)) }
