Judge at checkout whether a connection may carry a request

Callers of a sound upstream could get an unknown end: a connection that had carried 1,024 requests, or was older than five minutes, was closed with the body of its last answer, when the pool had given it to another request already. And a copy that came just as the same id was about to be sent on its connection again was taken for the answer, though nothing had been sent there (net/http reads what has come anyway).

Cause: a connection was judged after its use, when it is no longer the user's. Class: a decision on something shared, made after it was given back.

Change: age, number of requests and repeated ids are judged when the pool hands a connection out; a call that is turned away goes to the next pooled one, three times at most, then to a new one of its own. What comes on a connection other than the one that carried the call is no answer to it.

--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -55,30 +55,44 @@
 	return &conn{Conn: plain, opened: time.Now(), gone: make(chan struct{}), idSeed: maphash.MakeSeed()}
 }
 
-// carry records that the connection is to carry a request, and reports whether it has carried none with
-// this id before.
-func (c *conn) carry(id string) (first bool) {
+// rejection is the reason why a connection must not carry a call.
+type rejection int
+
+const (
+	// accepted means that it may.
+	accepted rejection = iota
+	// repeatedID means that it has carried a request with the same id.
+	repeatedID
+	// worn means that it has carried MaxCarriedRequests, or is older than maxConnectionAge.
+	worn
+)
+
+// String returns the reason in snake case, as logs show it.
+func (r rejection) String() string {
+	return [...]string{"accepted", "repeated_id", "worn"}[r]
+}
+
+// admit records that the connection is to carry a request with the id, unless it must not.
+func (c *conn) admit(id string) rejection {
+	if time.Since(c.opened) > maxConnectionAge.Duration() {
+		return worn
+	}
 	if id == "" {
-		return true
+		return accepted
 	}
 	hash := maphash.String(c.idSeed, id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.carried[hash] {
-		return false
-	}
-	if c.carried == nil {
+	switch {
+	case c.carried[hash]:
+		return repeatedID
+	case len(c.carried) >= MaxCarriedRequests:
+		return worn
+	case c.carried == nil:
 		c.carried = map[uint64]bool{}
 	}
 	c.carried[hash] = true
-	return true
-}
-
-// isWorn reports whether the connection has carried as many requests as it may.
-func (c *conn) isWorn() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.carried) >= MaxCarriedRequests
+	return accepted
 }
 
 // Write implements net.Conn.
@@ -195,8 +209,3 @@
 	defer c.mu.Unlock()
 	return c.closedByUpstream
 }
-
-// exceedsAge reports whether the connection is older than maxAge.
-func (c *conn) exceedsAge(maxAge clock.Millis) bool {
-	return time.Since(c.opened) > maxAge.Duration()
-}
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -35,6 +35,9 @@
 	// MaxCarriedRequests bounds the requests that a connection carries, and with them what is kept
 	// of their ids.
 	MaxCarriedRequests = 1024
+	// maxRejections is the number of pooled connections that are tried for a call before it gets a new one
+	// of its own.
+	maxRejections = 3
 )
 
 // Error is a failed send.
@@ -119,10 +122,16 @@
 	if call.NewConnection {
 		transport = s.unpooled
 	}
-	res, repeated, err := roundTrip(ctx, transport, call, run)
-	if err != nil && repeated {
-		klog.InfoS("connection has carried the id of a request before; sending the request on a new one", logger.KeyRequest, call.RequestID, "address", call.Address)
-		res, _, err = roundTrip(ctx, s.unpooled, call, run)
+	for rejected := 1; ; rejected++ {
+		var reason rejection
+		res, reason, err = roundTrip(ctx, transport, call, run)
+		if reason == accepted {
+			break
+		}
+		klog.InfoS("connection must not carry the request; sending it on another one", logger.KeyRequest, call.RequestID, "address", call.Address, "reason", reason.String(), "rejected", rejected)
+		if rejected == maxRejections {
+			transport = s.unpooled
+		}
 	}
 	if err != nil {
 		return nil, &Error{Sent: run.seal(), Err: err}
@@ -130,9 +139,8 @@
 	return res, nil
 }
 
-// roundTrip sends the call on a connection of the transport. repeated reports that nothing was sent
-// because that connection has carried a request with the same id.
-func roundTrip(ctx context.Context, transport *http.Transport, call Call, run *Run) (res *http.Response, repeated bool, err error) {
+// roundTrip sends the call on a connection of the transport, unless that one must not carry it.
+func roundTrip(ctx context.Context, transport *http.Transport, call Call, run *Run) (res *http.Response, reason rejection, err error) {
 	var used *conn
 	reused := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -141,25 +149,34 @@
 			return
 		}
 		used, reused = c, info.Reused
-		repeated = !c.carry(call.RequestID)
-		run.bind(c, !repeated)
+		reason = c.admit(call.RequestID)
+		run.bind(c, reason == accepted)
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, false, err
+		return nil, accepted, err
 	}
 	res, err = transport.RoundTrip(req)
+	if used != nil && run.connection() != used {
+		// What came on a connection on which nothing was sent is no answer to this call.
+		if err == nil {
+			_ = used.Close()
+			_ = res.Body.Close()
+			err = errRunEnded
+		}
+		if run.connection() != nil || ctx.Err() != nil {
+			reason = accepted
+		}
+		return nil, reason, err
+	}
 	if err != nil {
-		return nil, repeated, err
+		return nil, accepted, err
 	}
 	if used != nil {
 		run.setAnswered(res.Body == http.NoBody)
-		res.Body = &answerBody{
-			ReadCloser: res.Body, run: run, conn: used, reused: reused,
-			closeConn: used.exceedsAge(maxConnectionAge) || used.isWorn(),
-		}
+		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused}
 	}
-	return res, false, nil
+	return res, accepted, nil
 }
 
 // Limits of the check whether an upstream has crashed.
@@ -235,8 +252,7 @@
 	conn *conn
 	// reused means that the connection has carried an earlier request.
 	reused bool
-	// closeConn makes Close also close the connection, because it has exceeded
-	// maxConnectionAge or MaxCarriedRequests, or by CloseAfter.
+	// closeConn makes Close also close the connection, by CloseAfter.
 	closeConn bool
 }
 
