Give a connection to the next call once its answer is settled

Callers of sound requests got an unknown end, or the daemon an answer that was one behind, where a stray answer without a body came on a connection: such an answer is complete with its head, so the pool gave the connection to the next call before this one had found that the answer was not its own and closed the connection.

Change: a call that gets a pooled connection waits, 100 ms at most, until the answer before was taken for its own (its body is read or closed) or the connection is closed; then it goes out on another one. Nothing was sent by then. The relayer closes the connection of a stray answer, which it kept until now (Abandon didn't see through its wrapper of the body).

TestConnectionOfAStrayAnswerIsNotUsedAgain: one connection for three attempts before, three after.

--- a/daemon/relayer/relayer.go
+++ b/daemon/relayer/relayer.go
@@ -111,10 +111,10 @@
 	}
 	switch {
 	case wrongAttempt && r.canResume():
-		_ = res.Body.Close()
+		sender.Abandon(res)
 		return r.relayEvents(ctx, nil)
 	case wrongAttempt:
-		_ = res.Body.Close()
+		sender.Abandon(res)
 		return ErrWrongAttempt
 	case strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
 		return r.relayEvents(ctx, res)
--- a/daemon/relayer/relayer_test.go
+++ b/daemon/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -46,3 +47,35 @@
 		t.Errorf("cancelled %q", cancelled)
 	}
 }
+
+// TestConnectionOfAStrayAnswerIsNotUsedAgain guards against a connection that stays one answer behind because
+// the answer to another attempt had no body.
+func TestConnectionOfAStrayAnswerIsNotUsedAgain(t *testing.T) {
+	var mu sync.Mutex
+	connections := map[string]bool{}
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		mu.Lock()
+		connections[r.RemoteAddr] = true
+		mu.Unlock()
+		w.Header().Set("X-Request-Id", "stray")
+	}))
+	defer upstream.Close()
+	s := &sender.Sender{}
+	const attempts = 3
+	for i := range attempts {
+		id := string(rune('a' + i))
+		relay := &relayer.Relay{
+			Sender: s, AttemptID: id, Answer: &deduplicator.Answer{},
+			Call: sender.Call{Method: http.MethodPost, Address: strings.TrimPrefix(upstream.URL, "http://"), Path: "/", Body: []byte("{}"), RequestID: id},
+		}
+		if err := relay.Run(t.Context()); !errors.Is(err, relayer.ErrWrongAttempt) {
+			t.Errorf("got %v, want %v", err, relayer.ErrWrongAttempt)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(connections) != attempts {
+		t.Errorf("%d connections for %d attempts", len(connections), attempts)
+	}
+}
--- a/daemon/relayer/resume.go
+++ b/daemon/relayer/resume.go
@@ -100,6 +100,9 @@
 	cancel context.CancelFunc
 }
 
+// Unwrap returns the body that is wrapped.
+func (b *cancelBody) Unwrap() io.ReadCloser { return b.ReadCloser }
+
 // Close implements io.Closer.
 func (b *cancelBody) Close() error {
 	b.cancel()
--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -1,6 +1,7 @@
 package sender
 
 import (
+	"context"
 	"errors"
 	"hash/maphash"
 	"net"
@@ -37,6 +38,9 @@
 	idSeed maphash.Seed
 
 	mu sync.Mutex
+	// settled is closed once the answer to the current call is taken for its own, or the connection is
+	// closed; nil after that. The pool may give the connection to the next call before.
+	settled chan struct{}
 	// carried holds a hash of the id of each request that the connection has carried.
 	carried map[uint64]bool
 	// run is the run that uses the connection; if it is nil, writes fail.
@@ -65,15 +69,20 @@
 	repeatedID
 	// worn means that it has carried MaxCarriedRequests, or is older than maxConnectionAge.
 	worn
+	// unsettled means that the answer to its last call was not taken for its own.
+	unsettled
 )
 
 // String returns the reason in snake case, as logs show it.
 func (r rejection) String() string {
-	return [...]string{"accepted", "repeated_id", "worn"}[r]
+	return [...]string{"accepted", "repeated_id", "worn", "unsettled"}[r]
 }
 
 // admit records that the connection is to carry a request with the id, unless it must not.
-func (c *conn) admit(id string) rejection {
+func (c *conn) admit(ctx context.Context, id string) rejection {
+	if !c.awaitSettled(ctx) {
+		return unsettled
+	}
 	if time.Since(c.opened) > maxConnectionAge.Duration() {
 		return worn
 	}
@@ -95,6 +104,37 @@
 	return accepted
 }
 
+// settleTimeout is how long a call waits for a decision on the answer to the one before.
+const settleTimeout = 100 * clock.Millisecond
+
+// awaitSettled waits until the answer to the last call on the connection is taken for its own. It returns
+// false if the connection was closed instead.
+func (c *conn) awaitSettled(ctx context.Context) bool {
+	c.mu.Lock()
+	settled := c.settled
+	c.mu.Unlock()
+	if settled != nil {
+		ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
+		defer cancel()
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return !c.isClosed()
+}
+
+// settle lets the call after the run use the connection, unless that is closed.
+func (c *conn) settle(r *Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.run == r && c.settled != nil {
+		close(c.settled)
+		c.settled = nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(piece []byte) (n int, err error) {
 	c.mu.Lock()
@@ -145,6 +185,7 @@
 	c.closedAt = time.Now()
 	r, byUpstream := c.run, c.closedByUpstream
 	c.mu.Unlock()
+	c.settle(r)
 	tcp, isTCP := c.Conn.(*net.TCPConn)
 	if !isTCP || byUpstream || r == nil || !r.isOpen() || tcp.CloseWrite() != nil {
 		defer close(c.gone)
--- a/daemon/sender/run.go
+++ b/daemon/sender/run.go
@@ -120,6 +120,9 @@
 	}
 	c.mu.Lock()
 	c.run, c.dataAt, c.pause = owner, time.Now(), 0
+	if owner != nil {
+		c.settled = make(chan struct{})
+	}
 	c.mu.Unlock()
 }
 
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -149,7 +149,7 @@
 			return
 		}
 		used, reused = c, info.Reused
-		reason = c.admit(call.RequestID)
+		reason = c.admit(ctx, call.RequestID)
 		run.bind(c, reason == accepted)
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
@@ -212,22 +212,38 @@
 // IsFirst reports whether the connection of an answer has carried no request before, so that no
 // data of an earlier answer can have been read as this one.
 func IsFirst(res *http.Response) bool {
-	body, tracked := res.Body.(*answerBody)
+	body, tracked := trackedBody(res)
 	return tracked && !body.reused
 }
 
 // CloseAfter lets the connection of an answer be closed once the answer has been read, so that
 // a second copy of it can't be read as the answer to another request.
 func CloseAfter(res *http.Response) {
-	if body, tracked := res.Body.(*answerBody); tracked {
+	if body, tracked := trackedBody(res); tracked {
 		body.closeConn = true
 	}
 }
 
+// trackedBody returns the body that Send gave to an answer, also if it has been wrapped in one with a method
+// Unwrap.
+func trackedBody(res *http.Response) (body *answerBody, tracked bool) {
+	reader := res.Body
+	for {
+		if body, tracked = reader.(*answerBody); tracked {
+			return body, true
+		}
+		wrapper, wraps := reader.(interface{ Unwrap() io.ReadCloser })
+		if !wraps {
+			return nil, false
+		}
+		reader = wrapper.Unwrap()
+	}
+}
+
 // Abandon closes the body and the connection of an answer, so that data that still
 // arrives on it can't be read as the answer to another request.
 func Abandon(res *http.Response) {
-	if body, tracked := res.Body.(*answerBody); tracked {
+	if body, tracked := trackedBody(res); tracked {
 		body.run.setAnswered(false)
 		_ = body.conn.Close()
 	}
@@ -258,6 +274,9 @@
 
 // Read implements io.Reader.
 func (b *answerBody) Read(piece []byte) (n int, err error) {
+	if !b.closeConn {
+		b.conn.settle(b.run)
+	}
 	n, err = b.ReadCloser.Read(piece)
 	if errors.Is(err, io.EOF) {
 		b.run.setAnswered(true)
@@ -271,6 +290,7 @@
 	if b.closeConn {
 		err = errors.Join(err, b.conn.Close())
 	}
+	b.conn.settle(b.run)
 	return err
 }
 
