Keep brittle upstreams from refusing more than they bear

Workers may say in all their answers that they are brittle: one that has to turn more than N requests away in a second for want of room falls over. Nothing read the word. Simulated upstreams with five slots under twice their load, of which 3 in 100 callers leave while the run goes on, fell over again and again, with most slots idle.

Cause: a slot was free for the scheduler as soon as its caller had gone or its connection had broken, while the run went on; the upstream's queue hid that. The scheduler did not learn that a request had been refused, parts of a fleet each used all slots, and without a scheduler each daemon used one or more.

The word goes the way of a named limit, to the scheduler and from it to all daemons. The scheduler keeps a brittle upstream within its slots, counts runs whose end is not known, and sends no more beyond what the upstream is known to accept than it can refuse; End tells it of refusals, after which the upstream is spared. Parts of a fleet use their part.

Remains: while no scheduler answers such an upstream is hardly used, and not at all where N is below 2.

--- a/common/reporter/reporter.go
+++ b/common/reporter/reporter.go
@@ -86,6 +86,7 @@
 	ObstacleTrial     Obstacle = "tried with one request at a time"
 	ObstacleCold      Obstacle = "cold"
 	ObstacleLimit     Obstacle = "limit that it names"
+	ObstacleBrittle   Obstacle = "brittle and without room"
 	ObstacleEjected   Obstacle = "ejected as a straggler"
 	ObstacleDeadline  Obstacle = "would miss the deadline"
 	ObstacleFull      Obstacle = "no room"
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -181,7 +181,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.trackMembers(now, assignment)
-	divided := g.census.MaySeeSmallerSide() || g.isIsolated(now, len(assignment.Members))
+	fleet := g.fleet(now, len(assignment.Members))
 	for id, r := range g.runners {
 		if owner, found := assignment.Scheduler(id); !found || owner.Name != self {
 			delete(g.runners, id)
@@ -190,7 +190,7 @@
 	}
 	for _, shard := range assignment.Layout.Shards() {
 		if owner, _ := assignment.Scheduler(shard.ID); owner.Name == self {
-			g.ensureRunner(shard, config, divided)
+			g.ensureRunner(shard, config, fleet)
 		}
 	}
 	g.closeSilentSessions(now)
@@ -205,6 +205,24 @@
 	}
 }
 
+// deadShare is the share of the daemons of the last minute up to which missing ones are taken for
+// dead, and not for another part of the fleet.
+const deadShare = 0.25
+
+// fleet returns which part of the fleet this daemon sees. It is called with mu held.
+func (g *Granter) fleet(now clock.Millis, members int) (fleet scheduler.Fleet) {
+	present, known := g.census.Known(func(string) bool { return true })
+	isolated := g.isIsolated(now, members)
+	fleet.Divided = isolated || g.census.MaySeeSmallerSide()
+	if isolated {
+		present = 1
+	}
+	if float64(known-present) > deadShare*float64(known) {
+		fleet.Part = float64(max(present, 1)) / float64(known)
+	}
+	return fleet
+}
+
 // isIsolated reports whether this daemon may be cut off from all others of a fleet.
 func (g *Granter) isIsolated(now clock.Millis, members int) bool {
 	if g.LastContact == nil || members <= 1 {
@@ -215,9 +233,9 @@
 }
 
 // ensureRunner starts the shard unless it runs, and gives it the current
-// configuration; divided tells whether other daemons may schedule it too. It is called with
+// configuration; fleet tells whether other daemons may schedule it too. It is called with
 // mu held.
-func (g *Granter) ensureRunner(shard sharder.Shard, config *inventory.Config, divided bool) {
+func (g *Granter) ensureRunner(shard sharder.Shard, config *inventory.Config, fleet scheduler.Fleet) {
 	if g.ctx == nil || g.ctx.Err() != nil {
 		return
 	}
@@ -230,7 +248,7 @@
 		}
 	}
 	r.latestConfig.Store(g.shardConfigs.configFor(shard, config))
-	r.fleetDivided.Store(divided)
+	r.latestFleet.Store(&fleet)
 	if !found {
 		g.runnerGroup.Go(func() { g.runShard(r) })
 	}
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -26,6 +26,8 @@
 	coldGrants prometheus.Counter
 	// sharedGrants counts the grants on upstreams that others use too.
 	sharedGrants prometheus.Counter
+	// brittleRefusals counts the requests that brittle upstreams refused.
+	brittleRefusals prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -52,9 +54,12 @@
 		sharedGrants: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "yuccaspread_scheduler_shared_grants_total", Help: "Slots granted on upstreams that had requests of other schedulers too.",
 		}),
+		brittleRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "yuccaspread_scheduler_brittle_refusals_total", Help: "Requests refused by upstreams that crash when they refuse too many.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures, m.coldGrants, m.sharedGrants)
+		registerer.MustRegister(m.waits, m.refusals, m.running, m.lowestTier, m.failures, m.coldGrants, m.sharedGrants, m.brittleRefusals)
 	}
 	return m
 }
--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -73,6 +73,8 @@
 	prompt, sent int
 	// cut holds the pairs of daemons that can't reach each other.
 	cut map[[2]string]bool
+	// brittle holds the upstreams by name if they are brittle, nil if they are not.
+	brittle *brittleUpstreams
 }
 
 type limitedNode struct {
@@ -259,6 +261,13 @@
 		ID: fmt.Sprint(n.name, "-", number), Organisation: "o", Route: "question", Pool: pool, Arrived: now,
 		Deadline: now + 10*clock.Second, LatencyObjective: objective, Patience: patience, Idempotent: true,
 	}
+	f.mu.Lock()
+	brittle := f.brittle
+	f.mu.Unlock()
+	if brittle != nil {
+		brittle.serve(ctx, n, req)
+		return
+	}
 	counts := f.countSent(n)
 	slot, err := n.remote.Reserve(ctx, req, nil)
 	if err != nil {
--- a/daemon/granter/notices.go
+++ b/daemon/granter/notices.go
@@ -17,8 +17,9 @@
 // itself. Those that lose this scheduler use it, and tell the next one.
 func (r *runner) broadcastNotice(e scheduler.NoticeChanged) {
 	klog.InfoS("scheduler learned what an upstream says of itself", logger.KeyUpstream, e.Upstream, "shard", r.id, "limited", e.Limited,
-		"limit_per_s", e.Limit, "leaving", e.Leaving, "heard_ms_ago", r.granter.Clock.Now()-e.HeardAt)
-	if e.Limited || e.Leaving {
+		"limit_per_s", e.Limit, "leaving", e.Leaving, "brittle", e.Brittle, "max_refusals_per_s", e.MaxRefusals,
+		"heard_ms_ago", r.granter.Clock.Now()-e.HeardAt)
+	if e.Limited || e.Leaving || e.Brittle {
 		r.notices[e.Upstream] = e
 	} else {
 		delete(r.notices, e.Upstream)
@@ -49,5 +50,6 @@
 func noticeMessage(shard string, e scheduler.NoticeChanged, now clock.Millis) *wire.ReserveDown {
 	return &wire.ReserveDown{Message: &wire.ReserveDown_Notice{Notice: &wire.UpstreamNotice{
 		Shard: shard, Upstream: e.Upstream, HeardMsAgo: int64(max(now-e.HeardAt, 0)), Limited: e.Limited, Limit: e.Limit, Leaving: e.Leaving,
+		Brittle: e.Brittle, MaxRefusals: int32(e.MaxRefusals),
 	}}}
 }
--- a/daemon/granter/observer.go
+++ b/daemon/granter/observer.go
@@ -43,11 +43,17 @@
 	Observe(result RequestResult)
 }
 
-// reportEnd passes the end of a granted request to the observer; decode is the
+// reportEnd counts the end of a granted request and passes it to the observer; decode is the
 // time from the first token to the end.
 func (r *runner) reportEnd(m scheduler.End, decode clock.Millis) {
 	state := r.asks[m.ID]
-	if state == nil || state.upstream == "" || r.granter.Observer == nil {
+	if state == nil || state.upstream == "" {
+		return
+	}
+	if m.Usage.Outcome == reserver.Failed && m.Usage.NotRun && r.notices[state.upstream].Brittle {
+		r.granter.metrics.brittleRefusals.Inc()
+	}
+	if r.granter.Observer == nil {
 		return
 	}
 	result := RequestResult{
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -71,10 +71,10 @@
 	appliedConfig shardConfig
 	latestShares  atomic.Pointer[scheduler.Shares]
 	appliedShares *scheduler.Shares
-	// fleetDivided is set while this daemon may be on the smaller side of a partition;
-	// appliedDivided is what the scheduler has received.
-	fleetDivided   atomic.Bool
-	appliedDivided bool
+	// latestFleet is which part of the fleet this daemon sees, and appliedFleet what the scheduler
+	// has received.
+	latestFleet  atomic.Pointer[scheduler.Fleet]
+	appliedFleet scheduler.Fleet
 	// notices holds what upstreams say of themselves, as the daemons were told of it.
 	notices map[string]scheduler.NoticeChanged
 	// asks and waiting, the number of asks without a grant, are used only by the
@@ -126,9 +126,9 @@
 		}
 		r.appliedConfig = *next
 	}
-	if divided := r.fleetDivided.Load(); divided != r.appliedDivided {
-		r.appliedDivided = divided
-		r.update(scheduler.Fleet{Divided: divided})
+	if fleet := *r.latestFleet.Load(); fleet != r.appliedFleet {
+		r.appliedFleet = fleet
+		r.update(fleet)
 	}
 	if next := r.latestShares.Load(); next != r.appliedShares {
 		r.appliedShares = next
@@ -309,7 +309,7 @@
 	}
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Grant{Grant: &wire.Grant{
 		AskId: e.ID.Number, Upstream: e.Upstream, Version: e.Version,
-		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited,
+		ExpiresMs: int64(max(e.Expires-now, 0)), Waiting: int32(r.waiting), Limited: e.Limited, Brittle: e.Brittle,
 		Running: int32(e.Running + e.Foreign), FirstTokenMs: int32(min(e.FirstTokenMS, math.MaxInt32)), KeptTokens: int32(e.KeptTokens),
 	}}})
 }
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -63,7 +63,7 @@
 	return input{
 		message: scheduler.End{
 			ID:    scheduler.AskID{Daemon: daemon, Number: e.GetAskId()},
-			Usage: reserver.Usage{Outcome: toOutcome(e.GetOutcome()), OutputTokens: int(e.GetOutputTokens())},
+			Usage: reserver.Usage{Outcome: toOutcome(e.GetOutcome()), OutputTokens: int(e.GetOutputTokens()), NotRun: e.GetNotRun()},
 			Told:  toTold(e.GetTold()),
 		},
 		duration: clock.Millis(e.GetDecodeMs()),
@@ -79,7 +79,7 @@
 func toNotice(now clock.Millis, n *wire.UpstreamNotice) input {
 	return input{message: scheduler.Notice{
 		Upstream: n.GetUpstream(), HeardAt: now - clock.Millis(max(n.GetHeardMsAgo(), 0)), Limited: n.GetLimited(), Limit: n.GetLimit(),
-		Leaving: n.GetLeaving(),
+		Leaving: n.GetLeaving(), Brittle: n.GetBrittle(), MaxRefusals: int(n.GetMaxRefusals()),
 	}}
 }
 
--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -23,6 +23,10 @@
 	Limit   float64
 	// Leaving is set if the upstream is about to stop.
 	Leaving bool
+	// Brittle is set if the upstream crashes when it has to refuse more than MaxRefusals requests
+	// in a second for want of room; MaxRefusals is at least 0.
+	Brittle     bool
+	MaxRefusals int
 	// RetryAfter is how long the upstream wants no requests from this daemon, 0 if it
 	// said nothing of the kind.
 	RetryAfter clock.Millis
@@ -47,6 +51,10 @@
 	Limit   float64
 	// Leaving is set once the upstream has said that it is about to stop.
 	Leaving bool
+	// Brittle is set if the upstream said in its latest answer that it crashes when it has to
+	// refuse more than MaxRefusals requests in a second.
+	Brittle     bool
+	MaxRefusals int
 	// HeardAt is when the latest answer came, here or at another daemon.
 	HeardAt clock.Millis
 
@@ -55,7 +63,13 @@
 }
 
 // isEmpty reports whether the upstream said nothing of itself.
-func (w Word) isEmpty() bool { return !w.Limited && !w.Leaving }
+func (w Word) isEmpty() bool { return !w.Limited && !w.Leaving && !w.Brittle }
+
+// says reports whether the word says the same as another one.
+func (w Word) says(other Word) bool {
+	w.HeardAt, w.unlistedAt = other.HeardAt, other.unlistedAt
+	return w == other
+}
 
 // Noticer keeps the notices of upstreams. Its exported fields are set before use; it is
 // safe for concurrent use.
@@ -94,20 +108,21 @@
 	n.count(notice)
 	n.mu.Lock()
 	before := n.words[upstream]
-	word := Word{Limited: notice.Limited, Limit: notice.Limit, Leaving: before.Leaving || notice.Leaving, HeardAt: now}
-	n.store(upstream, word)
-	if notice.RetryAfter > 0 {
-		n.pauses[upstream] = max(n.pauses[upstream], now+notice.RetryAfter)
-		n.updateSize()
+	word := Word{
+		Limited: notice.Limited, Limit: notice.Limit, Leaving: before.Leaving || notice.Leaving,
+		Brittle: notice.Brittle, MaxRefusals: notice.MaxRefusals, HeardAt: now,
 	}
+	n.store(upstream, word)
 	n.mu.Unlock()
 	if notice.RetryAfter > 0 {
+		n.Pause(upstream, now+notice.RetryAfter)
 		klog.InfoS("upstream wants no requests for a while", logger.KeyRequest, request, logger.KeyUpstream, upstream, "for_ms", notice.RetryAfter)
 	}
-	if word.Limited != before.Limited || word.Limit != before.Limit || word.Leaving != before.Leaving {
+	if !word.says(before) {
 		klog.InfoS("upstream changed what it says of itself", logger.KeyRequest, request, logger.KeyUpstream, upstream,
 			"limited", word.Limited, "limit_per_s", word.Limit, "limited_before", before.Limited, "limit_per_s_before", before.Limit,
-			"leaving", word.Leaving, "leaving_before", before.Leaving)
+			"leaving", word.Leaving, "leaving_before", before.Leaving,
+			"brittle", word.Brittle, "max_refusals_per_s", word.MaxRefusals, "brittle_before", before.Brittle, "max_refusals_per_s_before", before.MaxRefusals)
 	}
 }
 
@@ -146,6 +161,9 @@
 	if notice.Leaving {
 		n.notices.WithLabelValues("leaving").Inc()
 	}
+	if notice.Brittle {
+		n.notices.WithLabelValues("brittle").Inc()
+	}
 	if notice.RetryAfter > 0 {
 		n.notices.WithLabelValues("retry_after").Inc()
 	}
@@ -168,6 +186,15 @@
 	return word.Leaving || now < n.PauseEnd(upstream)
 }
 
+// Pause lets an upstream get no requests from this daemon until end.
+func (n *Noticer) Pause(upstream string, end clock.Millis) {
+	n.prepare()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pauses[upstream] = max(n.pauses[upstream], end)
+	n.updateSize()
+}
+
 // PauseEnd returns until when an upstream wants no requests from this daemon, 0 if it never
 // said so.
 func (n *Noticer) PauseEnd(upstream string) clock.Millis {
--- a/daemon/noticer/noticer_test.go
+++ b/daemon/noticer/noticer_test.go
@@ -41,6 +41,31 @@
 	check("gone", 0, false)
 }
 
+// TestBrittlenessFollowsTheNewestWord guards against a brittle upstream that is taken for sound by an older word or
+// without any, and against one that stays brittle though its answers no longer say so.
+func TestBrittlenessFollowsTheNewestWord(t *testing.T) {
+	var n noticer.Noticer
+	check := func(what string, brittle bool, maxRefusals int) {
+		t.Helper()
+		if got, _ := n.WordOf("u"); got.Brittle != brittle || got.MaxRefusals != maxRefusals {
+			t.Errorf("%s: %+v", what, got)
+		}
+	}
+	n.Observe(20, "r", "u", noticer.Notice{Brittle: true, MaxRefusals: 3})
+	n.Learn("u", noticer.Word{Brittle: true, MaxRefusals: 9, HeardAt: 15})
+	check("an older word", true, 3)
+	n.Learn("u", noticer.Word{Brittle: true, HeardAt: 25})
+	check("a newer word", true, 0)
+	n.Pause("u", 40)
+	if n.PauseEnd("u") != 40 || !n.Avoids(39, "u") || n.Avoids(40, "u") {
+		t.Error("the pause does not hold")
+	}
+	n.Retain(50, func(string) bool { return true })
+	check("no answer for a while", true, 0)
+	n.Observe(60, "r", "u", noticer.Notice{})
+	check("an answer that does not say so", false, 0)
+}
+
 // TestUpstreamThatLeavesStaysAvoided guards against an upstream that gets requests again because an
 // answer from before it said that it leaves came later.
 func TestUpstreamThatLeavesStaysAvoided(t *testing.T) {
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -72,6 +72,8 @@
 	terms Terms
 	// limited is set if the scheduler knows of a limit that the upstream names.
 	limited bool
+	// brittle is set if the scheduler knows that the upstream is brittle.
+	brittle bool
 	// told is what the upstream told of its load at toldAt, until the scheduler is told of it.
 	told   noticer.Load
 	toldAt clock.Millis
@@ -205,7 +207,7 @@
 		return
 	}
 	r.markHeld(res, upstream, grant.GetVersion())
-	res.limited = grant.GetLimited()
+	res.limited, res.brittle = grant.GetLimited(), grant.GetBrittle()
 	res.terms = Terms{
 		Known: true, Shard: res.shard, Scheduler: res.link.peer.Name, Running: int(grant.GetRunning()),
 		FirstToken: clock.Millis(grant.GetFirstTokenMs()), KeptTokens: int(grant.GetKeptTokens()),
@@ -313,6 +315,9 @@
 	}
 	r.settleVolume(res, usage)
 	if res.isLocal {
+		if usage.Outcome == Failed && usage.NotRun {
+			r.Local.limits.hearRefusal(r.Clock.Now(), res.upstream)
+		}
 		r.Local.release(res.upstream.Name)
 	}
 	if l == nil {
@@ -327,6 +332,7 @@
 	r.mu.Unlock()
 	l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_End{End: &wire.End{
 		AskId: res.askID, Outcome: toWireOutcome(usage.Outcome), OutputTokens: int32(usage.OutputTokens), DecodeMs: int64(decode), Told: told,
+		NotRun: usage.NotRun,
 	}}})
 }
 
--- a/daemon/reserver/limited_share.go
+++ b/daemon/reserver/limited_share.go
@@ -26,8 +26,8 @@
 // something of themselves. The zero value permits all. It is not safe for concurrent use.
 type limitedShare struct {
 	noticer *noticer.Noticer
-	// isSharer reports whether this daemon is one of the limitSharers of an upstream.
-	isSharer func(upstream string) bool
+	// rank returns how many daemons of the region rank higher for an upstream than this one.
+	rank func(upstream string) int
 	// allowances holds an entry for each upstream with a limit that was used lately; an
 	// upstream without one may get a request.
 	allowances map[string]*noticer.Allowance
@@ -48,6 +48,39 @@
 	return perSecond, !math.IsInf(perSecond, 1)
 }
 
+// share returns the number of slots that this daemon may use, of its share of the slots of an
+// upstream. All requests on a brittle one may be refused at once, so they are no more than this daemon's part of
+// what it can refuse in a second.
+func (s *limitedShare) share(u inventory.Upstream, share int) int {
+	if s.noticer == nil {
+		return share
+	}
+	word, _ := s.noticer.WordOf(u.Name)
+	if !word.Brittle {
+		return share
+	}
+	together := min(int(math.Round(sharedPart*float64(word.MaxRefusals))), max(int(sharedPart*float64(u.Slots)), 1))
+	sharers := min(limitSharers, together)
+	if s.rank(u.Name) >= sharers {
+		return 0
+	}
+	return together / sharers
+}
+
+// refusalPause is how long a daemon without a scheduler sends nothing to a brittle upstream that has
+// refused a request.
+const refusalPause = 1200 * clock.Millisecond
+
+// hearRefusal is called when an upstream has refused a request of the local share.
+func (s *limitedShare) hearRefusal(now clock.Millis, u inventory.Upstream) {
+	if s.noticer == nil {
+		return
+	}
+	if word, _ := s.noticer.WordOf(u.Name); word.Brittle {
+		s.noticer.Pause(u.Name, now+refusalPause)
+	}
+}
+
 // permits reports whether a request may be sent to the upstream of a pool now.
 func (s *limitedShare) permits(now clock.Millis, u inventory.Upstream, cold inventory.ColdLimit) bool {
 	if s.noticer == nil {
@@ -60,7 +93,7 @@
 	if !limited {
 		return true
 	}
-	if !s.isSharer(u.Name) {
+	if s.rank(u.Name) >= limitSharers {
 		return false
 	}
 	allowance := s.allowances[u.Name]
@@ -92,15 +125,14 @@
 	allowance.Take()
 }
 
-// isLimitSharer reports whether this daemon is one of those that rank highest for the upstream
-// in its region.
-func (r *Remote) isLimitSharer(upstream string) bool {
+// rankFor returns how many daemons of the region rank higher for the upstream than this one.
+func (r *Remote) rankFor(upstream string) (above int) {
 	self := r.View.Self()
-	own, above := sharder.Rank(self.Name, upstream), 0
+	own := sharder.Rank(self.Name, upstream)
 	for _, m := range r.Assigner.Current().Members {
 		if m.Name != self.Name && m.Region == self.Region && sharder.IsEligible(m) && sharder.Rank(m.Name, upstream) > own {
 			above++
 		}
 	}
-	return above < limitSharers
+	return above
 }
--- a/daemon/reserver/local.go
+++ b/daemon/reserver/local.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		hasUpstream = true
-		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.share(u) || !l.limits.permits(l.Clock.Now(), u, pool.Cold) {
+		if l.running[u.Name]+l.grantedSlots(u.Name) >= l.limits.share(u, l.share(u)) || !l.limits.permits(l.Clock.Now(), u, pool.Cold) {
 			continue
 		}
 		if !found || l.running[u.Name]*best.Slots < l.running[best.Name]*u.Slots {
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -16,23 +16,24 @@
 // scheduled names the stream and the shard over which a scheduler is known to know what an
 // upstream says of itself, and what that is.
 type scheduled struct {
-	link             *link
-	shard            string
-	limited, leaving bool
+	link                      *link
+	shard                     string
+	limited, leaving, brittle bool
 }
 
 // Hear implements Slot. The scheduler is told of each answer in which an upstream says
-// something of itself, and of those that end a limit of which the scheduler knows.
+// something of itself, and of those that end what the scheduler knows of.
 func (res *reservation) Hear(notice noticer.Notice) {
 	r := res.remote
 	r.Noticer.Observe(r.Clock.Now(), res.request.ID, res.upstream.Name, notice)
 	r.mu.Lock()
-	l, limited := res.link, res.limited
+	l, isKnown := res.link, res.limited || res.brittle
 	res.told, res.toldAt = notice.Load, r.Clock.Now()
 	r.mu.Unlock()
-	if l != nil && (notice.Limited || notice.Leaving || limited) {
+	if l != nil && (notice.Limited || notice.Leaving || notice.Brittle || isKnown) {
 		l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_Notice{Notice: &wire.UpstreamNotice{
 			Shard: res.shard, Upstream: res.upstream.Name, Limited: notice.Limited, Limit: notice.Limit, Leaving: notice.Leaving,
+			Brittle: notice.Brittle, MaxRefusals: int32(notice.MaxRefusals),
 		}}})
 	}
 }
@@ -47,12 +48,13 @@
 			continue
 		}
 		r.mu.Lock()
-		isKnown := r.scheduledNotices[u.Name] == scheduled{l, shard.ID, word.Limited, word.Leaving}
+		isKnown := r.scheduledNotices[u.Name] == scheduled{l, shard.ID, word.Limited, word.Leaving, word.Brittle}
 		r.mu.Unlock()
 		if !isKnown {
 			notices = append(notices, &wire.UpstreamNotice{
 				Shard: shard.ID, Upstream: u.Name, HeardMsAgo: int64(r.Clock.Now() - word.HeardAt),
 				Limited: word.Limited, Limit: word.Limit, Leaving: word.Leaving,
+				Brittle: word.Brittle, MaxRefusals: int32(word.MaxRefusals),
 			})
 		}
 	}
@@ -97,15 +99,16 @@
 func (r *Remote) learnNotice(l *link, notice *wire.UpstreamNotice) {
 	heardAt := r.Clock.Now() - clock.Millis(max(notice.GetHeardMsAgo(), 0))
 	r.Noticer.Learn(notice.GetUpstream(), noticer.Word{
-		Limited: notice.GetLimited(), Limit: notice.GetLimit(), Leaving: notice.GetLeaving(), HeardAt: heardAt,
+		Limited: notice.GetLimited(), Limit: notice.GetLimit(), Leaving: notice.GetLeaving(),
+		Brittle: notice.GetBrittle(), MaxRefusals: int(notice.GetMaxRefusals()), HeardAt: heardAt,
 	})
-	r.scheduledNotices[notice.GetUpstream()] = scheduled{l, notice.GetShard(), notice.GetLimited(), notice.GetLeaving()}
+	r.scheduledNotices[notice.GetUpstream()] = scheduled{l, notice.GetShard(), notice.GetLimited(), notice.GetLeaving(), notice.GetBrittle()}
 }
 
-// checkScheduled forgets that a scheduler knows of a limit if its grant shows that it does
+// checkScheduled forgets what a scheduler knows of an upstream if its grant shows that it does
 // not. It is called with mu held.
 func (r *Remote) checkScheduled(res *reservation) {
-	if known := r.scheduledNotices[res.upstream.Name]; known.limited != res.limited {
+	if known := r.scheduledNotices[res.upstream.Name]; known.limited != res.limited || known.brittle != res.brittle {
 		delete(r.scheduledNotices, res.upstream.Name)
 	}
 }
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -105,7 +105,7 @@
 		r.crossRegionBytes = map[int]*hourMeter{}
 		r.scheduledNotices = map[string]scheduled{}
 		r.Local.GrantedSlots = r.grantedSlots
-		r.Local.limits = limitedShare{noticer: r.Noticer, isSharer: r.isLimitSharer}
+		r.Local.limits = limitedShare{noticer: r.Noticer, rank: r.rankFor}
 	})
 }
 
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -130,6 +130,9 @@
 	}
 	slices.SortFunc(gone, func(a, b *ask) int { return cmp.Compare(a.ID.Number, b.ID.Number) })
 	for _, a := range gone {
+		if a.upstream != nil {
+			s.linger(a)
+		}
 		s.handleCancel(Cancel{ID: a.ID})
 	}
 }
--- a/daemon/scheduler/explain.go
+++ b/daemon/scheduler/explain.go
@@ -58,6 +58,8 @@
 }
 
 // obstacle returns the first reason for which an upstream would not get an ask now.
+//
+//nolint:gocyclo // One switch over all obstacles, one line each.
 func (s *State) obstacle(u *upstream, a *ask, w weighing) reporter.Obstacle {
 	switch {
 	case !u.listed:
@@ -78,6 +80,8 @@
 		return reporter.ObstacleTrial
 	case !s.withinCold(u):
 		return reporter.ObstacleCold
+	case !s.withinBrittle(u):
+		return reporter.ObstacleBrittle
 	case !s.withinLimit(u):
 		return reporter.ObstacleLimit
 	case u.straggler.Ejected() && !s.hasRoom(u, a, w.load, w.times):
--- a/daemon/scheduler/explain_test.go
+++ b/daemon/scheduler/explain_test.go
@@ -116,6 +116,13 @@
 	h.advance(10 * clock.Second)
 	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Limited: true, Limit: 0})
 	check("limit", ask, reporter.ObstacleLimit)
+	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Brittle: true})
+	check("brittle with room", ask, reporter.ObstacleNone)
+	only := h.newAsk(1000, 0)
+	only.Avoided = []string{"u1"}
+	h.send(only)
+	h.refuse(1000)
+	check("brittle", ask, reporter.ObstacleBrittle)
 	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now})
 	h.send(scheduler.Upstreams{List: []inventory.Upstream{{Name: "u0", Slots: 4, Leaving: true}, {Name: "u1", Slots: 4}}})
 	check("leaving", ask, reporter.ObstacleLeaving)
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -150,12 +150,18 @@
 	Limited  bool         `json:"limited"`
 	Limit    float64      `json:"limit"`
 	Leaving  bool         `json:"leaving,omitempty"`
+	// Brittle is set if it crashes when it has to refuse more than MaxRefusals requests in a second.
+	Brittle     bool `json:"brittle,omitempty"`
+	MaxRefusals int  `json:"max_refusals,omitempty"`
 }
 
 // Fleet reports whether this daemon may be on the smaller side of a partition, and another
 // scheduler on the other side use the same upstreams.
 type Fleet struct {
 	Divided bool `json:"divided"`
+	// Part is the share of the fleet that this daemon can see, where other parts may be alive, in
+	// (0, 1); 0 for all.
+	Part float64 `json:"part,omitempty"`
 }
 
 // Shares replaces the shares of traffic by version for a move; versions that
@@ -210,6 +216,8 @@
 	Limited bool `json:"limited,omitempty"`
 	// Cold is set if the upstream is cold, as far as is known here.
 	Cold bool `json:"cold,omitempty"`
+	// Brittle is set if the upstream says that it is brittle, as far as is known here.
+	Brittle bool `json:"brittle,omitempty"`
 	// Foreign is the estimated number of requests on the upstream that this scheduler did not grant.
 	Foreign int `json:"foreign,omitempty"`
 	// Running are the requests on the upstream by this scheduler, FirstTokenMS the expected time to
@@ -258,7 +266,7 @@
 }
 
 // NoticeChanged reports that an upstream has named a limit, another one, or, if Limited is unset,
-// none any more, or that it is about to stop.
+// none any more, that it is about to stop, or that it is or is no longer brittle.
 type NoticeChanged Notice
 
 func (NoticeChanged) effect() {}
--- a/daemon/scheduler/notices.go
+++ b/daemon/scheduler/notices.go
@@ -51,10 +51,12 @@
 	u.saysLeaving = u.saysLeaving || m.Leaving
 	if m.HeardAt >= u.limit.heardAt {
 		changed = s.setLimit(u, m) || changed
+		changed = s.setBrittle(u, m) || changed
 	}
 	if changed {
 		s.emit(NoticeChanged{
 			Upstream: m.Upstream, HeardAt: u.limit.heardAt, Limited: u.limit.named, Limit: u.limit.perSecond, Leaving: u.saysLeaving,
+			Brittle: u.brittle.named, MaxRefusals: u.brittle.maxRefusals,
 		})
 	}
 }
@@ -95,9 +97,9 @@
 }
 
 // withinLimit reports whether an upstream accepts one more request by its own word, and by what
-// it takes while it is cold.
+// it takes while it is cold or brittle.
 func (s *State) withinLimit(u *upstream) bool {
-	if !s.withinCold(u) {
+	if !s.withinCold(u) || !s.withinBrittle(u) {
 		return false
 	}
 	if !u.limit.named {
--- a/daemon/scheduler/place.go
+++ b/daemon/scheduler/place.go
@@ -227,6 +227,7 @@
 		u.limit.allowance.Take()
 	}
 	s.takeCold(u)
+	s.takeBrittle(u)
 	s.recordService(a)
 	s.shares.recordGrant(a)
 	s.pace.recordGrant(s.now, a.entry.Tier)
@@ -235,6 +236,7 @@
 	s.unconfirmed = append(s.unconfirmed, a)
 	s.emit(Grant{
 		ID: a.ID, Upstream: u.Name, Version: u.version, Expires: a.grantedAt + s.grantLifetime(), Limited: u.limit.named, Cold: a.onCold,
+		Brittle: u.brittle.named,
 		Foreign: u.foreign.count, Running: u.running, FirstTokenMS: eval.bestTimes.FirstTokenMS, KeptTokens: a.cachedTokens,
 	})
 }
@@ -250,6 +252,7 @@
 		u.prefillStartedAt = s.now
 	}
 	u.addRunning(s.now, 1)
+	a.occupiedAtGrant = s.occupied(u)
 	u.tokens += a.PromptTokens + a.expectedOutput
 	u.pendingPrefills++
 	u.pendingPrefillMS += a.prefillMS
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -62,6 +62,7 @@
 	a.confirmed = true
 	a.firstTokenAt = s.now
 	s.hearTold(u, m.Told)
+	s.acceptRun(a)
 	cached := m.CachedTokens
 	switch {
 	case cached == reserver.CachedUnknown:
@@ -119,6 +120,7 @@
 	u := a.upstream
 	u.recordOutcome(m.Usage.Outcome)
 	s.hearTold(u, m.Told)
+	s.endBrittle(a, m.Usage)
 	switch m.Usage.Outcome {
 	case reserver.Completed:
 		s.learnGap(a, m.Usage.OutputTokens)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -66,8 +66,10 @@
 	shares shares
 	// divided is set while another scheduler may use the same upstreams.
 	divided bool
-	region  region
-	pace    pace
+	// part is the share of the fleet that this scheduler serves, 0 for all.
+	part   float64
+	region region
+	pace   pace
 }
 
 // ask is an ask with its state.
@@ -101,6 +103,8 @@
 	runningIntegral float64
 	// onCold is set if the upstream was cold when the slot was granted.
 	onCold bool
+	// occupiedAtGrant is the number of requests on the upstream with this one when the slot was granted.
+	occupiedAtGrant int
 	// isProbe is set if the ask probes an ejected upstream. slowdown is the largest
 	// ratio of a measured time to the expected one, 0 while there is none.
 	isProbe  bool
@@ -152,7 +156,7 @@
 	case Notice:
 		s.handleNotice(m)
 	case Fleet:
-		s.divided = m.Divided
+		s.divided, s.part = m.Divided, m.Part
 	case Shares:
 		s.shares.replace(m)
 	case RegionTier:
--- a/daemon/scheduler/told.go
+++ b/daemon/scheduler/told.go
@@ -12,6 +12,7 @@
 	if m.Slots <= 0 {
 		return
 	}
+	u.brittle.slots = m.Slots
 	u.integrateRunning(s.now)
 	u.foreign.handleReport(Load{Time: s.now - m.Age, Running: m.Running, Waiting: m.Waiting})
 	u.foreign.expiresAt = s.now + toldLifetime
--- a/daemon/scheduler/upstream.go
+++ b/daemon/scheduler/upstream.go
@@ -51,6 +51,7 @@
 	// evacuated is set while its failure domain is evacuated.
 	evacuated bool
 	cold      coldState
+	brittle   brittleness
 	// keeper estimates which parts of prompts it still holds.
 	keeper keeper.Keeper
 
