Tell the terms of a slot for organisations with limits

In the log line of each request of an organisation with limits the scheduler, the shard, and what the upstream was chosen by were empty: the limiter wraps the slot, and the wrapper did not pass the terms on. Whoever asked why a request went to an upstream, or which daemon had scheduled it, found nothing.

The wrapper passes them on. TestLimitedSlotTellsItsTerms fails before, with all terms unknown, and passes now.

--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -465,6 +465,9 @@
 	once          sync.Once
 }
 
+// Terms returns the terms on which the upstream was chosen.
+func (s *limitedSlot) Terms() reserver.Terms { return reserver.TermsOf(s.Slot) }
+
 // End implements reserver.Slot.
 func (s *limitedSlot) End(usage reserver.Usage) {
 	s.Slot.End(usage)
--- a/daemon/limiter/limiter_test.go
+++ b/daemon/limiter/limiter_test.go
@@ -290,3 +290,32 @@
 		s.End(reserver.Usage{})
 	}
 }
+
+// grantOnTerms is a Reserver whose slots tell the terms on which their upstream was chosen.
+type grantOnTerms struct{ terms reserver.Terms }
+
+type slotOnTerms struct {
+	slot
+	terms reserver.Terms
+}
+
+func (s slotOnTerms) Terms() reserver.Terms { return s.terms }
+
+func (g grantOnTerms) Reserve(context.Context, *classifier.Request, []string) (reserver.Slot, error) {
+	return slotOnTerms{terms: g.terms}, nil
+}
+
+// TestLimitedSlotTellsItsTerms guards against logs that don't tell which scheduler chose an upstream, and why, for
+// organisations with limits.
+func TestLimitedSlotTellsItsTerms(t *testing.T) {
+	f := newFleet(1, inventory.Organisation{RatePerSecond: 10, Burst: 10})
+	want := reserver.Terms{Known: true, Scheduler: "d0", Shard: "s", Running: 3}
+	f.limiters["d0"].Next = grantOnTerms{want}
+	slot, err := f.limiters["d0"].Reserve(t.Context(), &classifier.Request{Organisation: "o", Deadline: f.clock.Now() + clock.Second}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := reserver.TermsOf(slot); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
