Keep no slots of brittle upstreams for requests that never left

A daemon that can't connect to a brittle upstream ends its slots as those of an upstream that died, and each then counted as a run whose end is not known, for 1.5 s or more: a daemon that is cut off from the workers took the slots from those that are not. The end says that the request did not run; the scheduler now heeds that. TestUnreachedUpstreamKeepsItsSlots fails before, with no slot a second later, and passes now.

--- a/daemon/scheduler/brittle.go
+++ b/daemon/scheduler/brittle.go
@@ -162,7 +162,9 @@
 		b.longestRunMS = max(b.longestRunMS*longestRunRetention, float64(s.now-a.grantedAt))
 		s.acceptRun(a)
 	case reserver.Cancelled, reserver.ConnectionBroken, reserver.UpstreamDied:
-		s.linger(a)
+		if !usage.NotRun {
+			s.linger(a)
+		}
 	case reserver.Failed:
 		if usage.NotRun {
 			s.recordRefusal(a.upstream)
--- a/daemon/scheduler/brittle_test.go
+++ b/daemon/scheduler/brittle_test.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// TestUnreachedUpstreamKeepsItsSlots guards against slots of a brittle upstream that are taken by requests of a daemon
+// that can't connect to it, and against free ones while a request may run there.
+func TestUnreachedUpstreamKeepsItsSlots(t *testing.T) {
+	for _, notRun := range []bool{true, false} {
+		h := newHarness(1)
+		h.makeBrittle(3)
+		number, _ := h.askOnce()
+		h.send(scheduler.End{ID: askID(number), Usage: reserver.Usage{Outcome: reserver.UpstreamDied, NotRun: notRun}})
+		// The upstream is paused for a second.
+		h.advance(1100)
+		if _, upstream := h.askOnce(); (upstream != "") != notRun {
+			t.Errorf("not run %t: slot on %q", notRun, upstream)
+		}
+	}
+}
+
 // TestBrittleUpstreamUsesItsSlots guards against slots of a brittle upstream that stay idle though it refuses
 // nothing, and against more requests than slots, those included that others run there.
 func TestBrittleUpstreamUsesItsSlots(t *testing.T) {
