--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -141,6 +141,9 @@
 
 func (s *State) handleDaemonGone(m DaemonGone) {
 	for _, a := range s.asksOf(m.Daemon) {
+		if a.upstream != nil {
+			s.linger(a)
+		}
 		s.handleCancel(Cancel{ID: a.ID})
 	}
 	if i, found := s.searchLinks(m.Daemon); found {
--- a/daemon/scheduler/reports.go
+++ b/daemon/scheduler/reports.go
@@ -66,6 +66,7 @@
 	a.confirmed = true
 	a.firstTokenAt = s.now
 	s.hearTold(u, m.Told)
+	s.acceptRun(a)
 	cached := m.CachedTokens
 	switch {
 	case cached == reserver.CachedUnknown:
@@ -129,6 +130,7 @@
 	if believed {
 		u.recordOutcome(m.Usage.Outcome)
 	}
+	s.endBrittle(a, m.Usage)
 	switch m.Usage.Outcome {
 	case reserver.Completed:
 		s.learnGap(a, m.Usage.OutputTokens)
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -66,8 +66,10 @@
 	shares shares
 	// divided is set while another scheduler may use the same upstreams.
 	divided bool
-	region  region
-	pace    pace
+	// part is the share of the fleet that this scheduler serves, 0 for all.
+	part   float64
+	region region
+	pace   pace
 
 	// links are the daemons with failures since their last answer, sorted by name.
 	links         []*links
@@ -105,6 +107,8 @@
 	runningIntegral float64
 	// onCold is set if the upstream was cold when the slot was granted.
 	onCold bool
+	// occupiedAtGrant is the number of requests on the upstream with this one when the slot was granted.
+	occupiedAtGrant int
 	// firstTokenMS is the expected time from the grant to the first token.
 	firstTokenMS float64
 	// held is set while the ask waits outside of the queue, and trialOf is not nil while it tries the links
@@ -166,7 +170,7 @@
 	case Notice:
 		s.handleNotice(m)
 	case Fleet:
-		s.divided = m.Divided
+		s.divided, s.part = m.Divided, m.Part
 	case Shares:
 		s.shares.replace(m)
 	case RegionTier:
