Pass requests on by what the daemon knows of its paths

The forwarder now tells the surveyor what its attempts reach and asks it whether this daemon is cut off, and passes requests on to no daemon that says it is cut off itself. Until here the three parts (detection, schedulers' judgement, delegation) stood beside each other.

--- a/daemon/forwarder/delegate_test.go
+++ b/daemon/forwarder/delegate_test.go
@@ -691,7 +691,10 @@
 		return gossiper.Member{Name: name, Region: region, FailureDomain: domain, Listen: "address of " + name, State: state, Revision: revision}
 	}
 	self := member("self", "r", "r1", gossiper.Alive, 1)
+	cutOff := member("cut off", "r", "r1", gossiper.Alive, 1)
+	cutOff.CutOff = true
 	peers := &MemberPeers{Source: &fixedSource{}, View: fixedView{self: self, members: []gossiper.Member{
+		cutOff,
 		member("far", "s", "s1", gossiper.Alive, 1), member("region", "r", "r2", gossiper.Alive, 1), member("near", "r", "r1", gossiper.Alive, 1),
 		self, member("leaving", "r", "r1", gossiper.Leaving, 1), member("suspect", "r", "r1", gossiper.Suspect, 1), member("starting", "r", "r1", gossiper.Alive, 0),
 	}}}
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -29,6 +29,7 @@
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/resolver"
 	"yuccaspread/daemon/sender"
+	"yuccaspread/daemon/surveyor"
 	"yuccaspread/platform/fetcher"
 	"yuccaspread/platform/parser"
 	"yuccaspread/platform/responder"
@@ -132,10 +133,10 @@
 	return attributorResult{Attributor: a, Spreader: s, Service: s.Register}
 }
 
-func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, a *attributor.Attributor, d *drainer.Drainer, m *rationer.Rationer, registerer prometheus.Registerer) listener.Handler {
+func newForwarder(s settings, source inventory.Source, c clock.Clock, r reserver.Reserver, view gossiper.View, a *attributor.Attributor, d *drainer.Drainer, m *rationer.Rationer, survey *surveyor.Surveyor, registerer prometheus.Registerer) listener.Handler {
 	return &forwarder.Forwarder{
 		Source: source, Clock: c, Reserver: r, Sender: &sender.Sender{}, Protocol: translator.Protocol{},
-		Attributor: a, Memory: m, Stop: d, Registerer: registerer,
+		Attributor: a, Memory: m, Stop: d, Survey: survey, Registerer: registerer,
 		Peers: &forwarder.MemberPeers{View: view, Source: source}, CallerProtocol: translator.Protocol{},
 		Budget: &forwarder.Budget{
 			RetriesPerRequest: s.Hosted.RetryShare, ExtraRetries: s.Hosted.RetryExtra,
