Don't take two upstreams that die at once for a daemon's links

What callers saw: while two of three upstreams were away, their daemons held requests for up to 1.1 s. Cause: failures at two upstreams without an answer between were taken for those of the daemon's own links, though nobody was answered there. Change: two failures need a contradiction, that one of the upstreams answered another daemon meanwhile; without any it takes failures at three upstreams, or at all where there are fewer.

--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -8,13 +8,17 @@
 	"yuccaspread/daemon/reserver"
 )
 
-// A failure that a daemon reports is evidence about one pair, the daemon and the upstream. The first
-// one is believed of the upstream, unless the upstream answered another daemon meanwhile. A daemon
-// whose attempts fail at several upstreams, without an answer between, has lost its own links.
+// A failure that a daemon reports is evidence about one pair, the daemon and the upstream. It is
+// believed of the upstream, unless the upstream answered another daemon meanwhile. A daemon whose
+// attempts fail without an answer between has lost its own links if one of the upstreams answered another
+// daemon meanwhile, or if several upstreams fail: that two of them die at once is no rare event.
 const (
-	// minFailedUpstreams is the number of upstreams whose failures, without an answer between, are
-	// taken for those of the daemon's links.
-	minFailedUpstreams = 2
+	// minFailures is the number of failures, one of them contradicted, from which on a daemon's links are
+	// doubted: a single packet may be lost.
+	minFailures = 2
+	// minFailedUpstreams is the number of upstreams whose failures are doubted without that, or all if they
+	// are fewer, at least minFailures.
+	minFailedUpstreams = 3
 	// minContradicted is the number of those that have answered other daemons meanwhile from which on
 	// a daemon's asks are refused instead of held: fewer may have been restarted.
 	minContradicted = 2
@@ -170,8 +174,8 @@
 // judgeLinks decides by a daemon's failures whether it is cut off.
 func (s *State) judgeLinks(l *links) {
 	contradicted := l.countContradicted()
-	cutOff := l.cutOff || len(l.failures) >= minFailedUpstreams || (contradicted > 0 && l.attempts >= minFailedUpstreams)
-	confirmed := l.confirmed || (cutOff && contradicted >= min(minContradicted, s.countListed()))
+	cutOff := l.cutOff || len(l.failures) >= max(minFailures, min(minFailedUpstreams, s.countUsable())) || (contradicted > 0 && l.attempts >= minFailures)
+	confirmed := l.confirmed || (cutOff && contradicted >= min(minContradicted, s.countUsable()))
 	if cutOff == l.cutOff && confirmed == l.confirmed {
 		return
 	}
@@ -196,9 +200,10 @@
 	return count
 }
 
-func (s *State) countListed() (count int) {
+// countUsable returns the number of upstreams that may get requests once they have room.
+func (s *State) countUsable() (count int) {
 	for _, u := range s.upstreams {
-		if u.listed {
+		if u.inService() && !u.down {
 			count++
 		}
 	}
