--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -42,6 +42,8 @@
 	BreakEvery int `json:"break_every"`
 	// ShedEvery refuses the request without running it.
 	ShedEvery int `json:"shed_every"`
+	// CloseEvery closes the connection after the response, which says so.
+	CloseEvery int `json:"close_every"`
 	// RetryAfter is the Retry-After of requests that are refused so, in seconds; empty for none.
 	RetryAfter string `json:"retry_after"`
 	// Unhealthy fails health checks with status 503 and affects nothing else.
@@ -163,20 +165,12 @@
 	}
 	faults, index := v.countRequest()
 	id := r.Header.Get(headerAttempt)
-	if id != "" {
-		w.Header().Set(headerAttempt, id)
-	}
+	setNotices(w.Header(), id, faults, index)
 	conn, _ := r.Context().Value(connKey{}).(*connState)
 	if conn != nil {
 		conn.answering.Lock()
 		defer conn.answering.Unlock()
 	}
-	if faults.NamedLimit != "" {
-		w.Header().Set("Server-Limit", faults.NamedLimit)
-	}
-	if faults.Leaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
@@ -210,6 +204,22 @@
 	v.runRequest(w, r, faults, index)
 }
 
+// setNotices sets what all responses say of their request and of the worker.
+func setNotices(header http.Header, id string, faults Faults, index int) {
+	if id != "" {
+		header.Set(headerAttempt, id)
+	}
+	if faults.NamedLimit != "" {
+		header.Set("Server-Limit", faults.NamedLimit)
+	}
+	if isEveryNth(index, faults.CloseEvery) {
+		header.Set("Connection", "close")
+	}
+	if faults.Leaving {
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 // countRequest counts a request and returns the faults in effect and its number in
 // order of arrival.
 func (v *Worker) countRequest() (faults Faults, index int) {
