Count only an answer as a path to an upstream

Callers of a daemon that was cut off behind something that accepts connections were refused: the dials by which the daemon judges its paths succeeded, so it never took itself for cut off. Seen in TestHostedDaemonsCutOffFromAllWorkers, whose proxies accept all connections.

--- a/daemon/duty_surveying.go
+++ b/daemon/duty_surveying.go
@@ -7,6 +7,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/sender"
 	"yuccaspread/daemon/surveyor"
 )
 
@@ -19,5 +20,7 @@
 }
 
 func newSurveyor(s settings, source inventory.Source, c clock.Clock, g *gossiper.Gossiper, registerer prometheus.Registerer) *surveyor.Surveyor {
-	return &surveyor.Surveyor{Source: source, Clock: c, Region: s.Region, OnChange: g.PublishReport, Registerer: registerer}
+	// A device before an upstream may accept connections that lead nowhere, so that only an answer counts.
+	probe := (&sender.Sender{}).Probe
+	return &surveyor.Surveyor{Source: source, Clock: c, Region: s.Region, OnChange: g.PublishReport, Dial: probe, Registerer: registerer}
 }
--- a/daemon/surveyor/surveyor.go
+++ b/daemon/surveyor/surveyor.go
@@ -11,7 +11,6 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
-	"yuccaspread/daemon/tuner"
 )
 
 // Surveyor runs Core on what requests meet, carries out its dials and tells of changes. Its
@@ -23,7 +22,7 @@
 	Region string
 	// OnChange is called after IsCutOff has changed, by Run; nil for nobody.
 	OnChange func(ctx context.Context)
-	// Dial opens a connection and closes it; nil means over TCP.
+	// Dial opens a connection to an upstream and awaits any answer on it.
 	Dial func(ctx context.Context, address string) error
 	// Registerer registers the metrics; nil registers none.
 	Registerer prometheus.Registerer
@@ -40,9 +39,6 @@
 	s.once.Do(func() {
 		s.due = make(chan struct{}, 1)
 		s.core = NewCore(s.Region, uint64(s.Clock.Now()))
-		if s.Dial == nil {
-			s.Dial = dialTCP
-		}
 		if s.Registerer == nil {
 			return
 		}
@@ -57,14 +53,6 @@
 	})
 }
 
-func dialTCP(ctx context.Context, address string) error {
-	conn, err := tuner.Dialer().DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
-
 // Reached records an answer, or data of one, from an upstream.
 func (s *Surveyor) Reached(upstream string) { s.step(Reached{Upstream: upstream}) }
 
