Pass on requests whose daemon gets no slots for want of a path

Callers were refused "no upstream" where a scheduler took their daemon for cut off and the daemon itself did not: kept connections that live on answer now and then, which ends the daemon's own belief, while new ones are refused.

Cause: two beliefs about the same links, and only one of them led to another daemon. Change: the scheduler's refusal has a reason of its own (no_path), and the daemon passes such a request on. An older daemon reads the new reason as a deadline, as it did refuse before.

--- a/daemon/forwarder/delegate.go
+++ b/daemon/forwarder/delegate.go
@@ -74,6 +74,8 @@
 		return ""
 	case r.isCutOff():
 		return "cut_off"
+	case r.refusedNoPath:
+		return "refused_by_scheduler"
 	case len(r.unreached) >= minUnreached:
 		return "upstreams_unreached"
 	default:
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -94,6 +94,8 @@
 	begun atomic.Bool
 	// retryPaid is set if the retry after the current attempt was taken from the budget already.
 	retryPaid atomic.Bool
+	// refusedNoPath is set once a scheduler has refused a slot because it takes this daemon for cut off.
+	refusedNoPath bool
 	// unreached names the upstreams to which no connection could be opened.
 	unreached []string
 	// askedPeers names the daemons to which the request was passed on, or to be passed on.
@@ -156,7 +158,8 @@
 func (r *requestState) runHere(ctx context.Context, slot reserver.Slot) (again bool, replacement reserver.Slot, err error) {
 	if slot == nil {
 		if slot, err = r.reserve(ctx); err != nil {
-			return errors.Is(err, errCutOff), nil, err
+			r.refusedNoPath = reserver.IsNoPath(err)
+			return errors.Is(err, errCutOff) || (r.refusedNoPath && r.mayDelegate()), nil, err
 		}
 	}
 	r.grantedAt, r.terms = r.Clock.Now(), reserver.TermsOf(slot)
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -90,6 +90,8 @@
 		return "no_upstream"
 	case wire.RefusalReason_REFUSAL_REASON_OBJECTIVE:
 		return "objective"
+	case wire.RefusalReason_REFUSAL_REASON_NO_PATH:
+		return "no_path"
 	case wire.RefusalReason_REFUSAL_REASON_NOT_SCHEDULER, wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED:
 		return "other"
 	default:
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -108,6 +108,8 @@
 		return wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL
 	case scheduler.ReasonObjective:
 		return wire.RefusalReason_REFUSAL_REASON_OBJECTIVE
+	case scheduler.ReasonNoPath:
+		return wire.RefusalReason_REFUSAL_REASON_NO_PATH
 	case scheduler.ReasonNoUpstream:
 		return wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM
 	case scheduler.ReasonDeadline:
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -391,6 +391,16 @@
 	return done
 }
 
+// titleNoPath is the title of the refusal of a scheduler that takes this daemon for cut off.
+const titleNoPath = "no path"
+
+// IsNoPath reports whether err is the refusal of a scheduler that takes this daemon for cut off from the
+// upstreams.
+func IsNoPath(err error) bool {
+	var refusal *refuser.Refusal
+	return errors.As(err, &refusal) && refusal.Title == titleNoPath
+}
+
 // toRefusal returns the refusal for the caller.
 func toRefusal(refusal *wire.Refusal, pool string) *refuser.Refusal {
 	err := refuser.New(http.StatusServiceUnavailable, "deadline", fmt.Sprintf(
@@ -402,6 +412,9 @@
 	if refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_NO_UPSTREAM {
 		err = errNoUpstream(pool)
 	}
+	if refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_NO_PATH {
+		err = refuser.New(http.StatusServiceUnavailable, titleNoPath, "this daemon is taken to have no path to the upstreams of pool "+pool)
+	}
 	err.RetryAfter = clock.Millis(refusal.GetRetryAfterMs())
 	return err
 }
--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -250,7 +250,7 @@
 func (s *State) hold(l *links, a *ask) {
 	switch {
 	case l.confirmed && !s.trialDue(l):
-		s.refuse(a, ReasonNoUpstream)
+		s.refuse(a, ReasonNoPath)
 	case len(l.held) >= s.queue.Capacity:
 		s.refuse(a, ReasonQueueFull)
 	default:
@@ -283,7 +283,7 @@
 	l.held = nil
 	for _, a := range held {
 		a.held = false
-		s.refuse(a, ReasonNoUpstream)
+		s.refuse(a, ReasonNoPath)
 	}
 }
 
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -241,6 +241,8 @@
 	ReasonNoUpstream
 	// ReasonObjective means that the ask would miss its objective and can be made elsewhere.
 	ReasonObjective
+	// ReasonNoPath means that the daemon of the ask is taken to have no path to the upstreams.
+	ReasonNoPath
 )
 
 // Refuse refuses an ask on arrival or after it waited.
--- a/replayer/runner/record.go
+++ b/replayer/runner/record.go
@@ -78,7 +78,7 @@
 		s.Refused.Deadline++
 	case scheduler.ReasonQueueFull:
 		s.Refused.Full++
-	case scheduler.ReasonNoUpstream:
+	case scheduler.ReasonNoUpstream, scheduler.ReasonNoPath:
 		s.Refused.NoUpstream++
 	case scheduler.ReasonObjective:
 		s.Refused.Objective++
