Report silent attempts to the surveyor while they last

Callers on kept connections that hang left before their daemon knew that it was cut off: an attempt without an answer told nothing until it was given up.

Change: an attempt that got no data for 500 ms counts as a failure of the daemon's paths, also in the middle of a stream and whatever becomes of it. In error it costs one probe.

--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -31,6 +31,9 @@
 	// minSilenceTimeout is the lower bound of all of them: a slow upstream takes
 	// that long for an ordinary answer.
 	minSilenceTimeout = 250 * clock.Millisecond
+	// silentReportTime is the time without data after which an attempt counts as a failure of this daemon's
+	// paths, whatever becomes of it. In error it costs a dial.
+	silentReportTime = 500 * clock.Millisecond
 )
 
 // silenceWatch looks for another upstream while that of an attempt makes no progress.
@@ -48,6 +51,8 @@
 	cancel context.CancelCauseFunc
 	// eventTimeout is the timeout between two events; 0 means none.
 	eventTimeout clock.Millis
+	// report tells the survey that the upstream was not reached; nil for no survey. Progress restarts it.
+	report *time.Timer
 
 	mu sync.Mutex
 	// timer is nil if the attempt is not watched, or no longer.
@@ -66,6 +71,9 @@
 // (maxRuns 0).
 func (r *requestState) watchSilence(ctx context.Context, upstream string, cancel context.CancelCauseFunc) *silenceWatch {
 	w := &silenceWatch{request: r, excluded: append(slices.Clone(r.excluded), upstream), upstream: upstream, cancel: cancel}
+	if r.Survey != nil {
+		w.report = time.AfterFunc(silentReportTime.Duration(), func() { r.Survey.Unreached(upstream) })
+	}
 	last := !r.repeatable || r.runs+1 >= max(r.maxRuns, 1)
 	if last || r.req.LatencyObjective <= 0 {
 		return w
@@ -90,6 +98,9 @@
 	w.request.reached(w.upstream)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.report != nil {
+		w.report.Reset(silentReportTime.Duration())
+	}
 	w.steps++
 	w.progressAt = w.request.Clock.Now()
 	if w.timer != nil {
@@ -176,6 +187,9 @@
 func (w *silenceWatch) stop() (replacement reserver.Slot) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.report != nil {
+		w.report.Stop()
+	}
 	if w.timer != nil {
 		w.timer.Stop()
 		w.timer = nil
