Don't take a cut of a daemon's links for crashes of upstreams

Callers with the same prompt parts could be refused as if their requests crashed upstreams: a refused connection is how a daemon tells a crash, and one that is cut off by refusing links gets it everywhere.

Change: a daemon that takes itself for cut off reports no crashes. TestCutIsNotTakenForCrashes fails without it. Remains: the time until it knows (1.2 s after the first failure), in which a key with three crashes at different times, and no completed request anywhere for 5 s, could still be blocked.

--- a/daemon/forwarder/attribute.go
+++ b/daemon/forwarder/attribute.go
@@ -64,9 +64,9 @@
 	go r.checkCrash(context.WithoutCancel(ctx), upstream)
 }
 
-// checkCrash reports a crash if the upstream is gone.
+// checkCrash reports a crash if the upstream is gone. A daemon without a path to any upstream can't tell.
 func (r *requestState) checkCrash(ctx context.Context, upstream inventory.Upstream) {
-	if r.Sender.HasCrashed(ctx, upstream.Address) {
+	if r.Sender.HasCrashed(ctx, upstream.Address) && !r.isCutOff() {
 		r.Attributor.UpstreamCrashed(upstream.Name, r.req.Fingerprint, r.crashKeys())
 	}
 }
--- a/daemon/forwarder/attribute_test.go
+++ b/daemon/forwarder/attribute_test.go
@@ -109,3 +109,19 @@
 		}
 	}
 }
+
+// TestCutIsNotTakenForCrashes guards against sound requests that count as crashing upstreams because the links of
+// their daemon refuse connections.
+func TestCutIsNotTakenForCrashes(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		attributor, survey := &recordedAttributor{}, &testSurvey{}
+		survey.cut.Store(cut)
+		r := &requestState{
+			Forwarder: &Forwarder{Sender: &sender.Sender{}, Attributor: attributor, Survey: survey}, req: &classifier.Request{ID: "1"},
+		}
+		r.checkCrash(t.Context(), unreachable(t, 1)[0])
+		if (len(attributor.crashed) == 0) != cut {
+			t.Errorf("cut off %t: crashes of %v", cut, attributor.crashed)
+		}
+	}
+}
