Pass requests on within their home regions only

Nothing on the way there checked homes; the check before the send to an upstream came too late for the body.

Change: candidates are chosen among the daemons of the homes in force, before they are ordered and cut to a number. If none is left, the request is refused as before.

--- a/daemon/forwarder/delegate.go
+++ b/daemon/forwarder/delegate.go
@@ -139,12 +139,13 @@
 	return true, nil
 }
 
-// nextPeer returns the best daemon that was not asked yet.
+// nextPeer returns the best daemon in the homes of the request that was not asked yet.
 func (r *requestState) nextPeer() (peer Peer, found bool) {
 	if len(r.askedPeers) >= maxPeersAsked {
 		return peer, false
 	}
-	candidates := r.Peers.Candidates()
+	homes := r.Source.Current().HomesInForce(r.req.Route, r.req.Organisation, r.req.Homes)
+	candidates := r.Peers.Candidates(homes.Allow)
 	index := slices.IndexFunc(candidates, func(p Peer) bool { return !slices.Contains(r.askedPeers, p.Name) })
 	if index < 0 {
 		return peer, false
--- a/daemon/forwarder/delegate_test.go
+++ b/daemon/forwarder/delegate_test.go
@@ -179,7 +179,7 @@
 // fixedPeers are the daemons to pass requests on to, in order.
 type fixedPeers []Peer
 
-func (p fixedPeers) Candidates() []Peer { return p }
+func (p fixedPeers) Candidates(func(string) bool) []Peer { return p }
 
 // testDaemon is a daemon that callers and other daemons reach at its address.
 type testDaemon struct {
@@ -699,7 +699,41 @@
 		self, member("leaving", "r", "r1", gossiper.Leaving, 1), member("suspect", "r", "r1", gossiper.Suspect, 1), member("starting", "r", "r1", gossiper.Alive, 0),
 	}}}
 	want := []Peer{{"near", "address of near"}, {"region", "address of region"}, {"far", "address of far"}}
-	if got := peers.Candidates(); !slices.Equal(got, want) {
+	if got := peers.Candidates(func(string) bool { return true }); !slices.Equal(got, want) {
 		t.Errorf("%v, want %v", got, want)
 	}
 }
+
+// regionPeers are daemons to pass requests on to, by region.
+type regionPeers map[string]Peer
+
+func (p regionPeers) Candidates(allows func(region string) bool) (candidates []Peer) {
+	for region, peer := range p {
+		if allows(region) {
+			candidates = append(candidates, peer)
+		}
+	}
+	return candidates
+}
+
+// TestRequestIsPassedOnWithinItsHomesOnly guards against a request that leaves its home regions with its body
+// because its daemon is cut off.
+func TestRequestIsPassedOnWithinItsHomesOnly(t *testing.T) {
+	for home, want := range map[string]int{"": 1, "abroad": 1, "home": 0} {
+		u := &upstreams{t: t}
+		abroad := newDaemon(t, u.start(2))
+		d := newDaemon(t, unreachable(t, 2))
+		d.Peers = regionPeers{"abroad": abroad.peer("abroad")}
+		d.survey.cut.Store(true)
+		if home != "" {
+			config := d.Source.Current()
+			for i := range config.Routes {
+				config.Routes[i].HomeRegions = []string{home}
+			}
+		}
+		d.do(t.Context(), kinds()[0], "id")
+		if got := u.ran("id"); got != want || int(abroad.received.Load()) != want {
+			t.Errorf("home %q: ran %d times abroad, which got %d requests; want %d", home, got, abroad.received.Load(), want)
+		}
+	}
+}
--- a/daemon/forwarder/peers.go
+++ b/daemon/forwarder/peers.go
@@ -15,10 +15,10 @@
 	Address string
 }
 
-// Peers returns the other daemons to which requests can be passed on, the best first. It is safe for
-// concurrent use.
+// Peers returns the other daemons to which requests can be passed on, in the regions that allows names, the
+// best first. It is safe for concurrent use.
 type Peers interface {
-	Candidates() []Peer
+	Candidates(allows func(region string) bool) []Peer
 }
 
 // MemberPeers implements Peers by the membership. Its exported fields are set before use.
@@ -29,12 +29,12 @@
 
 // Candidates implements Peers. Daemons of this daemon's failure domain come first, then those of its
 // region and then others by distance; among equals the spare capacity decides, with a random part.
-func (p *MemberPeers) Candidates() (candidates []Peer) {
+func (p *MemberPeers) Candidates(allows func(region string) bool) (candidates []Peer) {
 	self := p.View.Self()
 	names := map[string]string{}
 	var near, others []gossiper.Member
 	for _, m := range p.View.Members() {
-		if m.Name == self.Name || !mayTakeOver(m) {
+		if m.Name == self.Name || !mayTakeOver(m) || !allows(m.Region) {
 			continue
 		}
 		names[m.Listen] = m.Name
