Tell a refusal for want of a path before those of other shards

Callers of daemons whose links refuse new connections, while kept ones live on, got "can't answer in time" or "no upstream".

Cause: a request asks the shards one after the other and is refused by the reason of the first, which had held the ask until it was overdue, or had its one upstream excluded; that later ones said "no path", which passes the request on to another daemon, was dropped. Class: the first reason hides the one that can be acted on.

Change: a refusal for want of a path is told whichever shard gives it, and a held ask that is overdue is refused so.

--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -194,7 +194,7 @@
 
 // reserveAnywhere asks the shards of this daemon's region and then, within the
 // tier's budget, those of other regions. Where all refuse, it returns the
-// refusal of the region's first shard.
+// refusal of the region's first shard, or one for want of a path.
 func (r *Remote) reserveAnywhere(ctx context.Context, w want) (res *reservation, err error) {
 	home := r.rankedShards(r.View.Self().Region, w.request)
 	if len(home) == 0 {
@@ -216,15 +216,22 @@
 		if err == nil || ctx.Err() != nil {
 			return res, err
 		}
-		if firstErr == nil {
-			firstErr = err
-		}
+		firstErr = tellingRefusal(firstErr, err)
 	}
 	res, err = r.spill(ctx, w, false)
 	if err == nil || ctx.Err() != nil {
 		return res, err
 	}
-	return nil, firstErr
+	return nil, tellingRefusal(firstErr, err)
+}
+
+// tellingRefusal returns the first refusal, or a later one for want of a path: where one scheduler takes this
+// daemon for cut off, that is why the others have nothing left for it.
+func tellingRefusal(first, later error) error {
+	if first == nil || (IsNoPath(later) && !IsNoPath(first)) {
+		return later
+	}
+	return first
 }
 
 // isHeldByLimits reports whether a request with an objective may have to wait for an upstream
--- a/daemon/reserver/spill.go
+++ b/daemon/reserver/spill.go
@@ -49,7 +49,7 @@
 		case errors.Is(err, errSchedulerUnreachable):
 			unreachable = err
 		default:
-			refused = cmp.Or(refused, err)
+			refused = tellingRefusal(refused, err)
 		}
 	}
 	return nil, cmp.Or(refused, unreachable, error(errNoUpstream(w.request.Pool)))
--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -325,7 +325,7 @@
 			l.held = l.held[1:]
 			a.held = false
 			if overdue {
-				s.refuse(a, ReasonDeadline)
+				s.refuse(a, ReasonNoPath)
 				continue
 			}
 			a.trialOf = l
