Let requests of the fleet's test fail for as long as a cut lasts

The test reported one failed request a daemon and then none; a daemon that stands still for longer than its probes may take drops what it believes after 2 s, by design, and nothing failed there that could tell it again. At a daemon in use requests go on to fail. The test now reports one each 50 ms until the cut is over; what it asks for and its bounds are as before.

That the process stood still is inferred from the state of the fleet and the load, not shown by a trace.

--- a/daemon/cut_off_test.go
+++ b/daemon/cut_off_test.go
@@ -46,6 +46,18 @@
 	return errLinkDown
 }
 
+// cut cuts the daemon off. Requests fail until it is over, as they do at a daemon in use: one that stood
+// still for a while forgets what it knew before.
+func (d *surveyedDaemon) cut(t *testing.T) {
+	d.cutOff.Store(true)
+	go func() {
+		for d.cutOff.Load() && t.Context().Err() == nil {
+			d.surveyor.Unreached("u1")
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+}
+
 // startSurveyed starts as many daemons, wired as in the program, that know nine upstreams.
 func startSurveyed(t *testing.T, count int) (daemons []*surveyedDaemon) {
 	t.Helper()
@@ -130,9 +142,8 @@
 	all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
 	awaitAnswers(t, daemons, all...)
 	for _, d := range daemons[:5] {
-		d.cutOff.Store(true)
 		d.surveyor.Reached("u0")
-		d.surveyor.Unreached("u1")
+		d.cut(t)
 	}
 	took := awaitAnswers(t, daemons, 5, 6, 7, 8)
 	// One dead upstream at the others is no cut.
@@ -142,8 +153,7 @@
 	}
 	back := awaitAnswers(t, daemons, all...)
 	for _, d := range daemons {
-		d.cutOff.Store(true)
-		d.surveyor.Unreached("u1")
+		d.cut(t)
 	}
 	for i, d := range daemons {
 		for start := time.Now(); !d.surveyor.IsCutOff(); time.Sleep(time.Millisecond) {
