Judge hanging attempts by streams only, and let them linger where it matters

Callers of a quiet daemon were refused: two of its requests with long runs, whose answers are reported once they are whole, looked like attempts that hang while other daemons got short answers; it was taken to be cut off, and running slots were taken back. And where slots are taken back from requests that hang at a brittle upstream, these may still run there: 5 and 6 runs on 4 slots.

Change: an ask says whether its first token is reported as it comes; only such asks can hang. An older daemon says nothing, and its attempts are not judged so. A slot that is taken back lingers at a brittle upstream like that of a run whose end is not known.

--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -18,7 +18,7 @@
 		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: int(a.GetTier()),
 		Deadline: now + clock.Millis(a.GetRemainingMs()), PromptTokens: int(a.GetPromptTokens()),
 		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
-		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), ObjectiveOnly: a.GetObjectiveOnly(), Avoided: a.GetAvoided(),
+		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), Stream: a.GetStream(), ObjectiveOnly: a.GetObjectiveOnly(), Avoided: a.GetAvoided(),
 	}
 	for i, hash := range a.GetPartHashes() {
 		if tokens := a.GetPartTokens(); i < len(tokens) {
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -366,7 +366,7 @@
 		AskId: res.askID, Shard: res.shard, Organisation: req.Organisation, Route: req.Route, Tier: int32(req.Tier),
 		RemainingMs: int64(req.Deadline - res.remote.Clock.Now()), PromptTokens: int32(req.PromptTokens),
 		MaxTokens: int32(req.MaxTokens), Idempotent: req.Idempotent, PrefixHashes: hashes,
-		Fingerprint: req.Fingerprint, Excluded: res.excluded,
+		Fingerprint: req.Fingerprint, Excluded: res.excluded, Stream: req.Stream,
 	}
 	if res.remote.KeptPrompts {
 		for i, hash := range req.PromptParts {
--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -345,9 +345,10 @@
 }
 
 // hangs reports whether an ask has got no answer for long, while its upstream answered a later one of another
-// daemon, or its own daemon is known to have no path.
+// daemon, or its own daemon is known to have no path. An answer that is reported once it is whole tells
+// nothing while it runs.
 func (s *State) hangs(a *ask) bool {
-	if a.upstream == nil || a.firstTokenAt != 0 || a.hung {
+	if a.upstream == nil || !a.Stream || a.firstTokenAt != 0 || a.hung {
 		return false
 	}
 	lateMS := float64(s.now - a.grantedAt - hangTime)
@@ -393,6 +394,7 @@
 // discount frees the slot of an ask that hangs at a daemon without a path: either it never reached its
 // upstream, or the upstream has had the time to finish it. The ask stays until its daemon reports its end.
 func (s *State) discount(a *ask) {
+	s.linger(a)
 	s.freeSlot(a)
 	a.discounted = true
 	a.endTrial()
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -43,6 +43,8 @@
 	// ObjectiveOnly is set if the ask is refused at once where it would miss its objective,
 	// because it can be made elsewhere.
 	ObjectiveOnly bool `json:"objective_only,omitempty"`
+	// Stream is set if the first token is reported as it comes, not with the whole answer.
+	Stream bool `json:"stream,omitempty"`
 	// Excluded names upstreams on which earlier attempts failed.
 	Excluded []string `json:"excluded,omitempty"`
 	// Avoided names upstreams that must get nothing from the asking daemon.
