Try a daemon's links with its most important requests

Callers of a daemon whose links were back got no slots on a busy shard: its two trials were of the lowest tier and waited in the queue behind what other daemons asked for.

Change: of the asks that wait outside of the queue, the one of the highest tier is the next trial, and it takes the place of a trial of a lower tier that still waits.

--- a/daemon/scheduler/links.go
+++ b/daemon/scheduler/links.go
@@ -56,10 +56,10 @@
 	confirmed bool
 	// cutOffAt is when cutOff was set.
 	cutOffAt clock.Millis
-	// held are its asks that wait outside of the queue, in order of arrival. It is empty unless cutOff is set.
+	// held are its asks that wait outside of the queue. It is empty unless cutOff is set.
 	held []*ask
-	// trials counts its asks that were let through, in the queue or granted.
-	trials      int
+	// trials are its asks that were let through, in the queue or granted.
+	trials      []*ask
 	nextTrialAt clock.Millis
 }
 
@@ -249,7 +249,7 @@
 // before others. Once the daemon is known to have no path, its caller is better told to try elsewhere.
 func (s *State) hold(l *links, a *ask) {
 	switch {
-	case l.confirmed && !s.trialDue(l):
+	case l.confirmed && !s.trialDue(l) && l.outrankedTrial(a) == nil:
 		s.refuse(a, ReasonNoPath)
 	case len(l.held) >= s.queue.Capacity:
 		s.refuse(a, ReasonQueueFull)
@@ -300,12 +300,12 @@
 
 // trialDue reports whether an ask of a daemon that is cut off may try whether its links are back.
 func (s *State) trialDue(l *links) bool {
-	if l.trials >= maxTrials || s.now < l.nextTrialAt {
+	if len(l.trials) >= maxTrials || s.now < l.nextTrialAt {
 		return false
 	}
 	trials, slots := 0, 0
 	for _, other := range s.links {
-		trials += other.trials
+		trials += len(other.trials)
 	}
 	for _, u := range s.upstreams {
 		slots += u.Slots
@@ -313,33 +313,79 @@
 	return trials < max(slots/trialShare, minTrialSlots)
 }
 
-// releaseTrials lets held asks through that are due as trials, and refuses those that waited too long.
+// releaseTrials lets held asks through that are due as trials, those of the highest tier first, and refuses those
+// that waited too long.
 func (s *State) releaseTrials() {
 	for _, l := range s.links {
 		for len(l.held) > 0 {
-			a := l.held[0]
+			i := l.nextHeld(s.now)
+			a := l.held[i]
 			overdue := a.latestStart < s.now
+			if !overdue {
+				s.replaceTrial(l, a)
+			}
 			if !overdue && !s.trialDue(l) {
 				break
 			}
-			l.held = l.held[1:]
+			l.held = slices.Delete(l.held, i, i+1)
 			a.held = false
 			if overdue {
 				s.refuse(a, ReasonNoPath)
 				continue
 			}
 			a.trialOf = l
-			l.trials++
+			l.trials = append(l.trials, a)
 			l.nextTrialAt = s.now + trialInterval
 			s.enqueueOrRefuse(a)
 		}
 	}
 }
 
+// nextHeld returns the index of a held ask that is overdue or else of the first one of the highest tier.
+func (l *links) nextHeld(now clock.Millis) (next int) {
+	for i, a := range l.held {
+		if a.latestStart < now {
+			return i
+		}
+		if a.Tier < l.held[next].Tier {
+			next = i
+		}
+	}
+	return next
+}
+
+// outrankedTrial returns a trial that still waits in the queue although a has a higher tier, or nil.
+func (l *links) outrankedTrial(a *ask) *ask {
+	for _, trial := range l.trials {
+		if trial.upstream == nil && trial.Tier > a.Tier {
+			return trial
+		}
+	}
+	return nil
+}
+
+// replaceTrial takes a trial of a lower tier than a from the queue, in which it may wait behind the asks of
+// other daemons for as long as these keep the shard busy.
+func (s *State) replaceTrial(l *links, a *ask) {
+	trial := l.outrankedTrial(a)
+	if trial == nil {
+		return
+	}
+	s.queue.Remove(&trial.entry)
+	trial.endTrial()
+	l.nextTrialAt = s.now
+	if l.confirmed {
+		s.refuse(trial, ReasonNoPath)
+		return
+	}
+	trial.held = true
+	l.held = append(l.held, trial)
+}
+
 // endTrial counts a trial as ended.
 func (a *ask) endTrial() {
 	if a.trialOf != nil {
-		a.trialOf.trials--
+		a.trialOf.trials = slices.DeleteFunc(a.trialOf.trials, func(trial *ask) bool { return trial == a })
 		a.trialOf = nil
 	}
 }
--- a/daemon/scheduler/links_test.go
+++ b/daemon/scheduler/links_test.go
@@ -500,3 +500,57 @@
 		}
 	}
 }
+
+// TestTrialsDontWaitBehindOthers guards against a daemon whose links are back and that gets no slots, because its
+// trials are of a low tier and wait in the queue of a busy shard.
+func TestTrialsDontWaitBehindOthers(t *testing.T) {
+	h := newHarness(4, 4)
+	h.failEach("d", 1)
+	if !h.cutOff["d"] {
+		t.Fatal("not cut off")
+	}
+	clear(h.granted)
+	daemonOf := map[uint64]string{}
+	ask := func(daemon string, n uint64, tier int) {
+		a := h.ofDaemon(daemon, n)
+		a.Tier, a.Organisation = tier, "of "+daemon
+		if n < 100 {
+			a.Deadline, a.Patience = h.now+600*clock.Second, h.now+600*clock.Second
+		} else {
+			a.Deadline, a.Patience = h.now+5*clock.Second, h.now+5*clock.Second
+		}
+		daemonOf[n] = daemon
+		h.send(a)
+	}
+	next := uint64(1000)
+	granted, asked := 0, 0
+	for step := range 300 {
+		// What runs ends after one step.
+		ended := slices.Sorted(maps.Keys(h.granted))
+		clear(h.granted)
+		for _, n := range ended {
+			id := scheduler.AskID{Daemon: daemonOf[n], Number: n}
+			h.send(scheduler.FirstToken{ID: id}, scheduler.End{ID: id, Usage: reserver.Usage{Outcome: reserver.Completed, OutputTokens: 5}})
+			if daemonOf[n] == "d" && step > 50 {
+				granted++
+			}
+		}
+		// Another daemon asks for more than the shard has.
+		for range 10 {
+			next++
+			ask("e", next, 0)
+		}
+		if step == 20 || step == 32 {
+			ask("d", uint64(step), 2)
+		}
+		if step > 50 {
+			next++
+			ask("d", next, 0)
+			asked++
+		}
+		h.advance(100)
+	}
+	if granted < asked/2 {
+		t.Errorf("%d of %d asks of the highest tier got a slot", granted, asked)
+	}
+}
