Pass requests on to daemons only that say they take them

During an upgrade callers got a 502 for a request that had run, and those that may be repeated ran twice: an older daemon handles such a request as a caller's own and doesn't mark its answer, which is then not believed.

TestRequestsGoToTheNearestSoundDaemon has such a daemon now and fails without.

--- a/daemon/forwarder/delegate_test.go
+++ b/daemon/forwarder/delegate_test.go
@@ -441,13 +441,15 @@
 // or further away than need be.
 func TestRequestsGoToTheNearestSoundDaemon(t *testing.T) {
 	member := func(name, region, domain string, state gossiper.State, revision int64) gossiper.Member {
-		return gossiper.Member{Name: name, Region: region, FailureDomain: domain, Listen: "address of " + name, State: state, Revision: revision}
+		return gossiper.Member{Name: name, Region: region, FailureDomain: domain, Listen: "address of " + name, State: state, Revision: revision, TakesRequests: true}
 	}
 	self := member("self", "r", "r1", gossiper.Alive, 1)
 	cutOff := member("cut off", "r", "r1", gossiper.Alive, 1)
 	cutOff.CutOff = true
+	older := member("older", "r", "r1", gossiper.Alive, 1)
+	older.TakesRequests = false
 	peers := &MemberPeers{Source: &fixedSource{}, View: fixedView{self: self, members: []gossiper.Member{
-		cutOff,
+		cutOff, older,
 		member("far", "s", "s1", gossiper.Alive, 1), member("region", "r", "r2", gossiper.Alive, 1), member("near", "r", "r1", gossiper.Alive, 1),
 		self, member("leaving", "r", "r1", gossiper.Leaving, 1), member("suspect", "r", "r1", gossiper.Suspect, 1), member("starting", "r", "r1", gossiper.Alive, 0),
 	}}}
--- a/daemon/forwarder/peers.go
+++ b/daemon/forwarder/peers.go
@@ -55,5 +55,5 @@
 
 // mayTakeOver reports whether a daemon can handle requests for another one.
 func mayTakeOver(m gossiper.Member) bool {
-	return m.State == gossiper.Alive && m.Revision > 0 && !m.CutOff
+	return m.State == gossiper.Alive && m.Revision > 0 && !m.CutOff && m.TakesRequests
 }
--- a/daemon/gossiper/encoder.go
+++ b/daemon/gossiper/encoder.go
@@ -16,7 +16,7 @@
 		Name: m.Name, Region: m.Region, FailureDomain: m.FailureDomain,
 		Listen: m.Listen, PeerListen: m.PeerListen,
 		Incarnation: m.Incarnation, State: wire.GossipState(m.State),
-		Beat: m.ReportVersion, Load: float32(m.Load), Revision: m.Revision, CutOff: m.CutOff,
+		Beat: m.ReportVersion, Load: float32(m.Load), Revision: m.Revision, CutOff: m.CutOff, TakesRequests: m.TakesRequests,
 	}
 }
 
@@ -33,6 +33,6 @@
 		Name: m.GetName(), Region: m.GetRegion(), FailureDomain: m.GetFailureDomain(),
 		Listen: m.GetListen(), PeerListen: m.GetPeerListen(),
 		Incarnation: m.GetIncarnation(), State: State(m.GetState()),
-		ReportVersion: m.GetBeat(), Load: float64(m.GetLoad()), Revision: m.GetRevision(), CutOff: m.GetCutOff(),
+		ReportVersion: m.GetBeat(), Load: float64(m.GetLoad()), Revision: m.GetRevision(), CutOff: m.GetCutOff(), TakesRequests: m.GetTakesRequests(),
 	}
 }
--- a/daemon/gossiper/member.go
+++ b/daemon/gossiper/member.go
@@ -59,6 +59,9 @@
 	Revision int64
 	// CutOff reports whether the member has no path to any upstream, by its own word.
 	CutOff bool
+	// TakesRequests reports whether the member handles requests that other daemons pass on to it; those
+	// of older versions don't know them.
+	TakesRequests bool
 	// LastHeard is when the local daemon last heard of the member, by the clock of
 	// the local daemon. It is never sent.
 	LastHeard clock.Millis
