Blame no upstream for a caller who leaves during a dial

Callers of all daemons could wait for a sound upstream: where a caller left before the connection to it was open, the daemon reported that the upstream had died, and the scheduler paused it for the fleet.

Change: an attempt that the caller or this daemon ended before it was sent ends as not sent. TestCallerWhoLeavesDuringADialBlamesNoUpstream fails before.

--- a/daemon/forwarder/cut_off.go
+++ b/daemon/forwarder/cut_off.go
@@ -43,12 +43,18 @@
 	}
 }
 
+// wasEndedHere reports whether the caller or this daemon ended an attempt, which then tells nothing of its
+// upstream.
+func wasEndedHere(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, context.DeadlineExceeded)
+}
+
 // recordUnreached records an attempt whose connection could not be opened, or broke or was given up
 // without an answer. One that the caller or this daemon ended is no evidence, unless the upstream was
 // silent until then.
 func (r *requestState) recordUnreached(ctx context.Context, upstream string, sent bool) {
-	cause := context.Cause(ctx)
-	if cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, context.DeadlineExceeded) {
+	if wasEndedHere(ctx) {
 		return
 	}
 	if !sent && !slices.Contains(r.unreached, upstream) {
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -312,7 +312,9 @@
 	})
 	if err != nil {
 		if !sender.WasSent(err) {
-			usage.Outcome = reserver.UpstreamDied
+			if !wasEndedHere(ctx) {
+				usage.Outcome = reserver.UpstreamDied
+			}
 			r.recordUnreached(ctx, upstream.Name, false)
 			return notSent, nil, err
 		}
--- a/daemon/forwarder/silence_report_test.go
+++ b/daemon/forwarder/silence_report_test.go
@@ -1,12 +1,14 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/daemon/reserver"
 )
 
 // TestSilentUpstreamIsReportedBeforeTheAttemptEnds guards against a cut that stays unknown until callers leave,
@@ -24,3 +26,15 @@
 		t.Errorf("the survey was told %v", told)
 	}
 }
+
+// TestCallerWhoLeavesDuringADialBlamesNoUpstream guards against a sound upstream that is paused for all daemons
+// because a caller left before the connection to it was open.
+func TestCallerWhoLeavesDuringADialBlamesNoUpstream(t *testing.T) {
+	d := newDaemon(t, unreachable(t, 1))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	d.do(ctx, kinds()[1], "left")
+	if len(d.slots.ended) != 1 || d.slots.ended[0].Outcome != reserver.NotSent || len(d.survey.told) > 0 {
+		t.Errorf("slots ended with %v, the survey was told %v", d.slots.ended, d.survey.told)
+	}
+}
