Let the caller of a test leave once it has a slot

The caller now leaves with the grant; the test fails without the change ("ended with UpstreamDied") and passes with it. No other code changes.

--- a/daemon/forwarder/silence_report_test.go
+++ b/daemon/forwarder/silence_report_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/reserver"
 )
 
@@ -27,12 +28,23 @@
 	}
 }
 
+// leavingCaller grants a slot, and lets the caller leave then.
+type leavingCaller struct {
+	*fixedSlots
+	leave context.CancelFunc
+}
+
+func (c leavingCaller) Reserve(ctx context.Context, req *classifier.Request, excluded []string) (reserver.Slot, error) {
+	defer c.leave()
+	return c.fixedSlots.Reserve(ctx, req, excluded)
+}
+
 // TestCallerWhoLeavesDuringADialBlamesNoUpstream guards against a sound upstream that is paused for all daemons
 // because a caller left before the connection to it was open.
 func TestCallerWhoLeavesDuringADialBlamesNoUpstream(t *testing.T) {
 	d := newDaemon(t, unreachable(t, 1))
 	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
+	d.Reserver = leavingCaller{d.slots, cancel}
 	d.do(ctx, kinds()[1], "left")
 	if len(d.slots.ended) != 1 || d.slots.ended[0].Outcome != reserver.NotSent || len(d.survey.told) > 0 {
 		t.Errorf("slots ended with %v, the survey was told %v", d.slots.ended, d.survey.told)
