Remove rows of a test at once, as it says

Cause: the test removed three rows one by one while the follower polls the fake register at the same moment of the bubble's clock. Where a poll came between, the follower saw one removal and then two, which is no mass removal by its design (docs/design/platform.md, open: entries that lapse one by one).

Change: the fake register removes the rows under one lock.

--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -31,15 +31,22 @@
 
 // set writes a row; an empty value removes it.
 func (r *fakeRegister) set(table, key, value string) {
+	r.setAll(table, value, key)
+}
+
+// setAll writes rows with the same value at once; an empty value removes them.
+func (r *fakeRegister) setAll(table, value string, keys ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version++
-	row := follower.Row{Table: table, Key: key, Value: []byte(value), Version: r.version, Removed: value == ""}
 	if r.rows == nil {
 		r.rows = map[string]follower.Row{}
 	}
-	r.rows[table+"/"+key] = row
-	r.history = append(r.history, row)
+	for _, key := range keys {
+		r.version++
+		row := follower.Row{Table: table, Key: key, Value: []byte(value), Version: r.version, Removed: value == ""}
+		r.rows[table+"/"+key] = row
+		r.history = append(r.history, row)
+	}
 }
 
 // callCount returns the number of calls so far.
@@ -321,9 +328,7 @@
 		}
 		f := startFollower(t, r)
 		time.Sleep(time.Second)
-		for _, key := range []string{"u1", "u2", "u3"} {
-			r.set("u", key, "")
-		}
+		r.setAll("u", "", "u1", "u2", "u3")
 		time.Sleep(time.Second)
 		if c := f.Current(); len(c.Upstreams) != 4 {
 			t.Errorf("%d upstreams in use one second after 3 of 4 were removed at once, want 4", len(c.Upstreams))
