Tell what ended an answer that had begun

"request ended" has cut_by and the revision in force at the arrival; the metric yuccaspread_forward_cuts_total counts by the same causes.

--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -94,6 +94,10 @@
 	begun atomic.Bool
 	// retryPaid is set if the retry after the current attempt was taken from the budget already.
 	retryPaid atomic.Bool
+	// gaveUp is set once this daemon has ended an attempt in the middle of the answer.
+	gaveUp bool
+	// arrivedRevision is the revision of the configuration in force when the request came.
+	arrivedRevision int64
 	// refusedNoPath is set once a scheduler has refused a slot because it takes this daemon for cut off.
 	refusedNoPath bool
 	// unreached names the upstreams to which no connection could be opened.
@@ -107,7 +111,7 @@
 // Handle implements listener.Handler.
 func (f *Forwarder) Handle(ctx context.Context, w http.ResponseWriter, req *classifier.Request) (err error) {
 	f.once.Do(func() { f.metrics.init(f.Registerer) })
-	r := &requestState{Forwarder: f, req: req, w: w, lastEvent: req.LastEventID}
+	r := &requestState{Forwarder: f, req: req, w: w, lastEvent: req.LastEventID, arrivedRevision: f.Source.Current().Revision}
 	r.repeatable = req.Repeatable()
 	r.resumable = req.Stream && req.Resumable
 	r.maxRuns = req.MaxAttempts
@@ -170,6 +174,7 @@
 		r.runTimes.add(r.req.Route, r.Clock.Now()-r.grantedAt)
 	}
 	r.attribute(ctx, slot.Upstream(), end, err)
+	r.recordGivingUp(err)
 	if !r.continues(ctx, end, replacement, err) {
 		return false, nil, err
 	}
@@ -395,6 +400,7 @@
 // recordEnd logs and counts the outcome of a request.
 func (r *requestState) recordEnd(ctx context.Context, err error) {
 	outcome := "whole"
+	var cause cutCause
 	var refusal *refuser.Refusal
 	switch {
 	case errors.As(err, &refusal):
@@ -402,7 +408,8 @@
 	case ctx.Err() != nil:
 		outcome = "caller_left"
 	case err != nil:
-		outcome = "cut"
+		outcome, cause = "cut", r.causeOfCut(err)
+		r.metrics.cuts.WithLabelValues(string(cause)).Inc()
 	case r.status >= http.StatusBadRequest:
 		outcome = "upstream_failure"
 	}
@@ -419,10 +426,10 @@
 		reason = err.Error()
 	}
 	klog.InfoS("request ended", logger.KeyRequest, r.req.ID, logger.KeyOrganisation, r.req.Organisation, "route", r.req.Route,
-		"tier", r.req.Tier, logger.KeyUpstream, r.lastUpstream, "outcome", outcome, "status", r.status, "reason", reason, "tries", r.tries,
+		"tier", r.req.Tier, logger.KeyUpstream, r.lastUpstream, "outcome", outcome, "cut_by", string(cause), "status", r.status, "reason", reason, "tries", r.tries,
 		"runs", r.runs, "waited_ms", waited, "first_ms", first, "took_ms", now-r.req.Arrived, "left_ms", r.timeLeft(),
 		"prompt_tokens", r.req.PromptTokens, "homes", r.homes(), "scheduler", r.terms.Scheduler,
 		"shard", r.terms.Shard, "passed_on_to", r.askedPeers, "chosen_running", r.terms.Running, "chosen_first_ms", r.terms.FirstToken, "chosen_kept_tokens", r.terms.KeptTokens,
-		"revision", r.Source.Current().Revision)
+		"revision", r.Source.Current().Revision, "arrived_revision", r.arrivedRevision)
 	r.metrics.countRequest(strconv.Itoa(r.req.Tier), outcome, now-r.req.Arrived)
 }
--- a/daemon/forwarder/metrics.go
+++ b/daemon/forwarder/metrics.go
@@ -18,6 +18,8 @@
 	endWaits prometheus.Histogram
 	// delegated counts the requests that were passed on to another daemon, and those that could not be.
 	delegated *prometheus.CounterVec
+	// cuts counts the answers that had begun and were not whole, by what ended them.
+	cuts *prometheus.CounterVec
 }
 
 func (m *metrics) init(registerer prometheus.Registerer) {
@@ -41,8 +43,11 @@
 	m.delegated = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "yuccaspread_forward_delegated_total", Help: "Requests passed on to another daemon, as this one reached no upstream, by what became of them there.",
 	}, []string{"outcome"})
+	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccaspread_forward_cuts_total", Help: "Answers that had begun and were not whole, by what ended them.",
+	}, []string{"cut_by"})
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.attempts, m.durations, m.unconfirmedEnds, m.endWaits, m.delegated)
+		registerer.MustRegister(m.requests, m.attempts, m.durations, m.unconfirmedEnds, m.endWaits, m.delegated, m.cuts)
 	}
 }
 
