Don't give a stream up for a second of silence

What callers saw: a stream in the middle of its answer was cut, though its upstream was sound and would have gone on.

Cause: after three times the promised pause without an event (750 ms on the users' installations) the daemon ended the attempt and only then learned whether another upstream goes on. Where that one failed, refused, broke off or hung, nothing was left: an answer that has begun can't be refused. The users' rule says it: a worker's silence is no reason to end an answer sooner, and a sound one may be silent for a second or so.

Change: a stream may stall once for up to 1.5 s. One that stalls again is given up after the old time. None is given up if its caller will have left before the upstream's end is known: that ends the answer for nothing.

A stream that stalls again and again still goes on elsewhere.

--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -12,6 +12,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/reserver"
+	"yuccaspread/daemon/sender"
 )
 
 // errSilent is the cancellation cause of an attempt whose upstream made no progress
@@ -26,11 +27,14 @@
 	// event of a stream, which may queue behind other prompts in the engine.
 	answerTimeoutFactor     = 1.5
 	firstEventTimeoutFactor = 2
-	// eventGapTimeoutFactor times the request's gap is the timeout between events.
-	eventGapTimeoutFactor = 3
-	// minSilenceTimeout is the lower bound of all of them: a slow upstream takes
+	// minSilenceTimeout is the lower bound of both: a slow upstream takes
 	// that long for an ordinary answer.
 	minSilenceTimeout = 250 * clock.Millisecond
+	// eventGapTimeoutFactor times the request's gap is the timeout between events.
+	eventGapTimeoutFactor = 3
+	// soundSilence is how long a sound upstream may be silent once in a stream. A stream that has begun is lost
+	// if the upstream that takes over fails, as it can't be refused any more.
+	soundSilence = 1500 * clock.Millisecond
 	// silentReportTime is the time without data after which an attempt counts as a failure of this daemon's
 	// paths, whatever becomes of it. In error it costs a dial.
 	silentReportTime = 500 * clock.Millisecond
@@ -49,8 +53,8 @@
 	upstream string
 	// cancel ends the attempt.
 	cancel context.CancelCauseFunc
-	// eventTimeout is the timeout between two events; 0 means none.
-	eventTimeout clock.Millis
+	// stallTimeout is the time without an event after which a stream stalls; 0 means none.
+	stallTimeout clock.Millis
 	// report tells the survey that the upstream was not reached; nil for no survey. Progress restarts it.
 	report *time.Timer
 
@@ -59,6 +63,8 @@
 	timer *time.Timer
 	// timeout is the one that the timer runs for.
 	timeout clock.Millis
+	// eventTimeout is the timeout between two events, 0 for none. It is stallTimeout once the stream has stalled.
+	eventTimeout clock.Millis
 	// steps counts the progress.
 	steps      int
 	progressAt clock.Millis
@@ -82,7 +88,8 @@
 	if r.req.Stream {
 		factor = firstEventTimeoutFactor
 		if r.req.EventGap > 0 {
-			w.eventTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
+			w.stallTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
+			w.eventTimeout = max(w.stallTimeout, soundSilence)
 		}
 	}
 	w.mu.Lock()
@@ -101,8 +108,12 @@
 	if w.report != nil {
 		w.report.Reset(silentReportTime.Duration())
 	}
+	now := w.request.Clock.Now()
+	if w.steps > 0 && now-w.progressAt > w.stallTimeout {
+		w.eventTimeout = w.stallTimeout
+	}
 	w.steps++
-	w.progressAt = w.request.Clock.Now()
+	w.progressAt = now
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -139,6 +150,11 @@
 	req := *r.req
 	req.LastWriteAt = max(req.LastWriteAt, w.progressAt)
 	w.mu.Unlock()
+	if end := req.PatienceEnd(); req.LastWriteAt > 0 && end > 0 && end-r.Clock.Now() < sender.MaxEndTimeout {
+		klog.InfoS("upstream is silent, and the caller will have left before another one could go on", logger.KeyRequest, r.req.ID, logger.KeyUpstream, w.upstream,
+			"timeout_ms", silent, "events", steps, "patience_left_ms", end-r.Clock.Now())
+		return
+	}
 	slot, err := r.Reserver.Reserve(ctx, &req, w.excluded)
 	taken := false
 	if err == nil {
--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -239,7 +239,7 @@
 	if c.pause > 0 && next.After(end) {
 		end = next
 	}
-	if latest := c.closedAt.Add(maxEndTimeout.Duration()); end.After(latest) {
+	if latest := c.closedAt.Add(MaxEndTimeout.Duration()); end.After(latest) {
 		return latest
 	}
 	return end
--- a/daemon/sender/run.go
+++ b/daemon/sender/run.go
@@ -12,8 +12,8 @@
 	// endTimeout is how long after this process has ended a run an upstream that has not closed
 	// the connection counts as still at work.
 	endTimeout = 400 * clock.Millisecond
-	// maxEndTimeout is the longest such time for an upstream that has written before.
-	maxEndTimeout = 1 * clock.Second
+	// MaxEndTimeout is the longest such time for an upstream that has written before.
+	MaxEndTimeout = 1 * clock.Second
 )
 
 // Run is what is known of the upstream's work on one call, from the call's connection. The zero
