--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -109,6 +109,8 @@
 	waiting int
 	// requestCount is the number of requests received.
 	requestCount int
+	// silentUntil is the end of the last silence.
+	silentUntil time.Time
 }
 
 // Register adds the handlers to router.
@@ -116,6 +118,7 @@
 	v.once.Do(func() { v.slots = make(chan struct{}, max(v.Slots, 1)) })
 	router.HandleFunc("/standin/faults", v.serveFaults).Methods(http.MethodPut)
 	router.HandleFunc("/standin/refusals", v.serveRefusals).Methods(http.MethodPut)
+	router.HandleFunc("/standin/silence", v.serveSilence).Methods(http.MethodPut)
 	router.HandleFunc("/standin/runs", v.serveRuns).Methods(http.MethodGet)
 	router.HandleFunc("/standin/arrivals", v.serveArrivals).Methods(http.MethodGet)
 	router.HandleFunc("/health", v.serveHealth).Methods(http.MethodGet)
@@ -290,7 +293,7 @@
 
 // runRequest runs the request and writes the response with the faults applied.
 func (v *Worker) runRequest(w http.ResponseWriter, r *http.Request, faults Faults, index int) {
-	if !clock.Sleep(r.Context(), cmp.Or(faults.WorkMS, v.WorkTime)) {
+	if !clock.Sleep(r.Context(), cmp.Or(faults.WorkMS, v.WorkTime)) || !v.awaitSound(r.Context()) {
 		return
 	}
 	if faults.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), faults.CrashPart+":") {
@@ -342,7 +345,7 @@
 		if err := flusher.Flush(); err != nil {
 			return
 		}
-		if !clock.Sleep(r.Context(), gap) {
+		if !clock.Sleep(r.Context(), gap) || !v.awaitSound(r.Context()) {
 			return
 		}
 	}
