Don't take a reset during an upload for the end of an answer

What callers saw (on other systems; here by a test): an upstream answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection; the caller gets that part as a whole answer.

Cause: the kernel reports a reset once. If the write of the request's body takes it, the read of the answer finds an orderly end.

Change: a connection records whether a write failed; at the end of an answer that only the end of its connection delimits, a write in progress is waited for.

An answer whose upstream closes in order while it reads on is still delivered (TestAnswerThatEndsDuringAnUploadIsWhole).

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -184,15 +184,10 @@
 	return completed, nil
 }
 
-// isDelimitedByEnd reports whether only the end of its connection tells where an answer ends.
-func isDelimitedByEnd(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
-}
-
 // endedWithUpstream reports whether an answer may have ended early: the connection that delimits
 // it is closed in the same way when its upstream is killed.
 func (r *requestState) endedWithUpstream(ctx context.Context, res *http.Response) bool {
-	return isDelimitedByEnd(res) && r.Sender.HasCrashed(ctx, res.Request.URL.Host)
+	return sender.IsDelimitedByEnd(res) && r.Sender.HasCrashed(ctx, res.Request.URL.Host)
 }
 
 // forwardEvents forwards a stream of events as they arrive, and returns the number of
@@ -272,7 +267,7 @@
 	if len(splitter.Rest()) > 0 {
 		return broken, fmt.Errorf("%w: in the middle of an event", errIncomplete)
 	}
-	if isDelimitedByEnd(res) && splitter.events == 0 {
+	if sender.IsDelimitedByEnd(res) && splitter.events == 0 {
 		return broken, fmt.Errorf("%w: no event before the connection ended", errIncomplete)
 	}
 	if r.endedWithUpstream(ctx, res) {
--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -49,6 +49,10 @@
 	closedByUpstream bool
 	// closedAt is when Close was called first, zero before.
 	closedAt time.Time
+	// writing is closed when the write in progress ends; nil for none. writeFailed reports that a write
+	// has failed.
+	writing     chan struct{}
+	writeFailed bool
 	// dataAt is when data of the run came last, or when the run began, and pause the time
 	// between that and the one before, 0 if no data has come.
 	dataAt time.Time
@@ -143,7 +147,37 @@
 	if closed || r == nil || !r.startWrite() {
 		return 0, errRunEnded
 	}
-	return c.Conn.Write(piece)
+	ended := make(chan struct{})
+	c.mu.Lock()
+	c.writing = ended
+	c.mu.Unlock()
+	n, err = c.Conn.Write(piece)
+	c.mu.Lock()
+	c.writing, c.writeFailed = nil, c.writeFailed || err != nil
+	c.mu.Unlock()
+	close(ended)
+	return n, err
+}
+
+// writeEndTimeout is how long a write that the peer's reset has ended may take to return.
+const writeEndTimeout = 100 * clock.Millisecond
+
+// wasReset reports whether a write has met a reset. The kernel reports a reset once, to a write or to a read; after
+// a write, a read finds the end of the connection as if the peer had closed it in order.
+func (c *conn) wasReset() bool {
+	c.mu.Lock()
+	writing := c.writing
+	c.mu.Unlock()
+	if writing != nil {
+		// A write that the peer does not take blocks beyond the end of the answer.
+		select {
+		case <-writing:
+		case <-time.After(writeEndTimeout.Duration()):
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeFailed
 }
 
 // Read implements net.Conn.
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -174,7 +174,7 @@
 	}
 	if used != nil {
 		run.setAnswered(res.Body == http.NoBody)
-		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused}
+		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused, delimitedByEnd: IsDelimitedByEnd(res)}
 	}
 	return res, accepted, nil
 }
@@ -209,6 +209,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// IsDelimitedByEnd reports whether only the end of its connection tells where an answer ends.
+func IsDelimitedByEnd(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // IsFirst reports whether the connection of an answer has carried no request before, so that no
 // data of an earlier answer can have been read as this one.
 func IsFirst(res *http.Response) bool {
@@ -270,6 +275,8 @@
 	reused bool
 	// closeConn makes Close also close the connection, by CloseAfter.
 	closeConn bool
+	// delimitedByEnd means that only the end of the connection tells where the answer ends.
+	delimitedByEnd bool
 }
 
 // Read implements io.Reader.
@@ -278,9 +285,13 @@
 		b.conn.settle(b.run)
 	}
 	n, err = b.ReadCloser.Read(piece)
-	if errors.Is(err, io.EOF) {
-		b.run.setAnswered(true)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.delimitedByEnd && b.conn.wasReset() {
+		return n, io.ErrUnexpectedEOF
 	}
+	b.run.setAnswered(true)
 	return n, err
 }
 
