Deliver a stream that was read whole just as its time was over

What callers saw: a stream was cut although its last event and its end had come.

Cause: at the end of a stream the daemon asked whether the request's time was over, and took the end for that of a connection that it had closed itself. That is in doubt only where nothing but the connection delimits the answer.

TestWholeStreamIsNotCutAtItsDeadline failed before.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -205,7 +205,9 @@
 		if readErr == nil {
 			continue
 		}
-		if !errors.Is(readErr, io.EOF) || ctx.Err() != nil {
+		// The end of a connection that this daemon has ended tells nothing of the answer.
+		endedHere := ctx.Err() != nil && sender.IsDelimitedByEnd(res)
+		if !errors.Is(readErr, io.EOF) || endedHere {
 			return broken, splitter.events, fmt.Errorf("%w: %w", errIncomplete, readErr)
 		}
 		e, err = r.finishStream(ctx, res, &splitter)
