Take nothing for an answer whose status does not exist

What callers saw (on other systems): an upstream in trouble sends an answer whose status is 000, and the caller gets it.

Here: the forwarder took nothing below 200, and passed 600 to 999 on. On the product's own path nothing looked at the status; by reading, net/http panics at 000, so that the caller's connection is closed without an answer.

Change: the sender counts a status below 200 or above 599 as no answer and closes the connection; the request counts as sent. All that sends to upstreams or other daemons goes through it, so the forwarder's own check is gone.

Evidence: TestStatusThatDoesNotExistIsNoAnswer failed before at 000, 001, 099, 101, 600 and 999.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -80,7 +80,7 @@
 	case r.headWritten && !r.continuesStream(res):
 		sender.Discard(res, chunkBytes, discardTimeout)
 		return failed, 0, fmt.Errorf("%w: status %d", errNoContinuation, res.StatusCode)
-	case success && !info.Authenticated, res.StatusCode < http.StatusOK:
+	case success && !info.Authenticated:
 		sender.Abandon(res)
 		return unanswered, 0, errNotAuthenticated
 	case success && r.req.Stream:
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -133,12 +133,22 @@
 			transport = s.unpooled
 		}
 	}
+	if err == nil && !isFinalStatus(res.StatusCode) {
+		Abandon(res)
+		res, err = nil, fmt.Errorf("%w: status %03d", errNoAnswer, res.StatusCode)
+	}
 	if err != nil {
 		return nil, &Error{Sent: run.seal(), Err: err}
 	}
 	return res, nil
 }
 
+// errNoAnswer means that what an upstream sent is no answer in HTTP.
+var errNoAnswer = errors.New("not an answer")
+
+// isFinalStatus reports whether a status ends a call: those below 200 don't, and none is above 599.
+func isFinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // roundTrip sends the call on a connection of the transport, unless that one must not carry it.
 func roundTrip(ctx context.Context, transport *http.Transport, call Call, run *Run) (res *http.Response, reason rejection, err error) {
 	var used *conn
