--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -27,11 +27,11 @@
 	// event of a stream, which may queue behind other prompts in the engine.
 	answerTimeoutFactor     = 1.5
 	firstEventTimeoutFactor = 2
-	// minSilenceTimeout is the lower bound of both: a slow upstream takes
+	// eventGapTimeoutFactor times the request's gap is the time after which a stream stalls.
+	eventGapTimeoutFactor = 3
+	// minSilenceTimeout is the lower bound of all of them: a slow upstream takes
 	// that long for an ordinary answer.
 	minSilenceTimeout = 250 * clock.Millisecond
-	// eventGapTimeoutFactor times the request's gap is the timeout between events.
-	eventGapTimeoutFactor = 3
 	// soundSilence is how long a sound upstream may be silent once in a stream. A stream that has begun is lost
 	// if the upstream that takes over fails, as it can't be refused any more.
 	soundSilence = 1500 * clock.Millisecond
