Don't take the close of a connection by this process for a reset

What callers saw: an answer without a length that was whole, and whose upstream had not read the request yet, was taken for a part.

Cause: counted any failed write. Once an answer has ended with its connection, net/http closes that on this side, and a write that still waits fails by this close.

Change: a write that fails because the connection was closed here is not counted; a reset ends a write with an error of its own.

Evidence: the test let the kernel take the whole body in most runs, and so met this only on a busy machine.

--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -49,8 +49,8 @@
 	closedByUpstream bool
 	// closedAt is when Close was called first, zero before.
 	closedAt time.Time
-	// writing is closed when the write in progress ends; nil for none. writeFailed reports that a write
-	// has failed.
+	// writing is closed when the write in progress ends; nil for none. writeFailed reports that the peer has
+	// ended a write.
 	writing     chan struct{}
 	writeFailed bool
 	// dataAt is when data of the run came last, or when the run began, and pause the time
@@ -153,13 +153,14 @@
 	c.mu.Unlock()
 	n, err = c.Conn.Write(piece)
 	c.mu.Lock()
-	c.writing, c.writeFailed = nil, c.writeFailed || err != nil
+	// A write also fails if this process closes the connection.
+	c.writing, c.writeFailed = nil, c.writeFailed || (err != nil && !errors.Is(err, net.ErrClosed))
 	c.mu.Unlock()
 	close(ended)
 	return n, err
 }
 
-// writeEndTimeout is how long a write that the peer's reset has ended may take to return.
+// writeEndTimeout is how long a write that a reset has ended may take to return.
 const writeEndTimeout = 100 * clock.Millisecond
 
 // wasReset reports whether a write has met a reset. The kernel reports a reset once, to a write or to a read; after
