Start a daemon of a test only once its shards run

Cause: the test asks as soon as its daemons are started. Where the scheduler's shard does not run yet, the ask is sent away and gets a slot of the local share, of which the scheduler learns later; the third request then gets the place of the first, and nobody waits. That is how the product is meant to work.

Change: a daemon of the test counts as started when the shards that it schedules run.

--- a/daemon/granter/path_test.go
+++ b/daemon/granter/path_test.go
@@ -203,7 +203,8 @@
 	return c
 }
 
-// start adds a daemon in homeRegion and runs it until the test ends.
+// start adds a daemon in homeRegion and runs it until the test ends. It returns once the daemon's
+// shards run: until then, asks get slots of the local share.
 func (c *cluster) start(name, homeRegion string) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(cancel)
@@ -249,6 +250,13 @@
 	go n.granter.Run(ctx)
 	go n.remote.Run(ctx)
 	go func() { _ = drpcserver.New(mux).Serve(ctx, socket) }()
+	scheduled := 0
+	for _, shard := range assigner.Current().Layout.Shards() {
+		if owner, _ := assigner.Current().Scheduler(shard.ID); owner.Name == name {
+			scheduled += len(shard.Upstreams)
+		}
+	}
+	waitFor(c.t, "the shards of "+name+" run", func() bool { return len(n.granter.Upstreams()) == scheduled })
 	return n
 }
 
@@ -298,7 +306,7 @@
 }
 
 // waitFor polls the condition and fails the test after 30 s.
-func waitFor(t *testing.T, what string, condition func() bool) {
+func waitFor(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for range 3000 {
 		if condition() {
