Know an upstream for gone that resets the connection of the check

One of the four crashes was attributed to no request, so that the quarantine began one crash late.

Cause: whether an upstream is gone is told by a dial that is refused. A process that is ending, and whose listening socket is closed while the connection is being opened, resets it instead; any error but a refusal counted as "may only be unreachable".

Change: a dial that is reset is followed by another one, as one that is accepted and closed at once was already; three at most.

--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -194,6 +194,7 @@
 	crashCheckTimeout = 250 * clock.Millisecond
 	// crashCheckPause is how long a connection to a process that is ending may stay open.
 	crashCheckPause = 20 * clock.Millisecond
+	crashCheckDials = 3
 )
 
 // HasCrashed reports whether the process at the address of an upstream is gone: its host
@@ -201,22 +202,30 @@
 func (s *Sender) HasCrashed(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout.Duration())
 	defer cancel()
-	conn, err := tuner.Dialer().DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	return isGone(func() (net.Conn, error) { return tuner.Dialer().DialContext(ctx, "tcp", address) })
+}
+
+// isGone reports whether dial is refused. A process that ends may accept or reset a few more connections, as
+// its other ones may be closed before its listening socket.
+func isGone(dial func() (net.Conn, error)) bool {
+	for range crashCheckDials {
+		conn, err := dial()
+		if err != nil && !errors.Is(err, syscall.ECONNRESET) {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		if err == nil && staysOpen(conn) {
+			return false
+		}
 	}
-	// The connections of a process that ends may be closed before its listening socket.
+	return false
+}
+
+// staysOpen reports whether a connection is open after crashCheckPause, and closes it.
+func staysOpen(conn net.Conn) bool {
+	defer func() { _ = conn.Close() }()
 	_ = conn.SetReadDeadline(time.Now().Add(crashCheckPause.Duration()))
-	_, err = conn.Read(make([]byte, 1))
-	_ = conn.Close()
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
-	}
-	conn, err = tuner.Dialer().DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // IsDelimitedByEnd reports whether only the end of its connection tells where an answer ends.
