Look for a suspected or newly dead daemon at each tick

Beside load it fails in 3 of 24 runs: all three brittle workers fall over some seconds after the killed daemon has started again.

The others probe each member in turn, so that both may miss it until they take it for dead, and then try one dead member or seed in five seconds. Settled alone after two, it schedules beside the other scheduler.

Change: at each tick a daemon also probes one member of its region that it suspects, or that has been dead for less than 30 s.

--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -26,6 +26,9 @@
 	// rejoinInterval is the time between two attempts to reach a seed or a dead
 	// member.
 	rejoinInterval = 5 * clock.Second
+	// restartTime is how long after its death a member of the own region is still
+	// probed, as its process may be started again.
+	restartTime = 30 * clock.Second
 	// findInterval is the time between two probes until this daemon is settled: a
 	// fleet that starts at once has to find itself before it schedules.
 	findInterval = 100 * clock.Millisecond
--- a/daemon/gossiper/probe.go
+++ b/daemon/gossiper/probe.go
@@ -28,6 +28,9 @@
 			effects = append(effects, c.newExchange(now, peer))
 		}
 	}
+	if peer := c.missingPeer(now); peer != nil {
+		effects = append(effects, c.newExchange(now, peer))
+	}
 	if now-c.lastRejoin >= rejoinInterval || len(c.Members()) == 1 {
 		c.lastRejoin = now
 		effects = append(effects, c.rejoin(now)...)
@@ -35,6 +38,19 @@
 	return effects
 }
 
+// missingPeer returns a random peer of the own region that is suspected, or has been dead for less than
+// restartTime; nil for none. It may be back, and know nobody.
+func (c *Core) missingPeer(now clock.Millis) *peerState {
+	names := c.filterPeerNames(func(m Member) bool {
+		return m.Region == c.self.Region &&
+			(m.State == Suspect || m.State == Dead && now-c.peers[m.Name].stateSince < restartTime)
+	})
+	if len(names) == 0 {
+		return nil
+	}
+	return c.peers[names[c.random.IntN(len(names))]]
+}
+
 // recoverFromPause is called after this process was suspended: others may have
 // declared it dead, and its own suspicions rest on replies that it could not
 // receive.
