Let the slow upstream of a test pause for longer than any silence timeout

Cause: the pause in the test's upstream is to be longer than any silence timeout, and was six times the least one, 1.5 s. Since a stream may be silent for just as long, so that it often went on in time and nothing was tested.

Change: the pause is 0.5 s longer than that time.

--- a/daemon/forwarder/watch_test.go
+++ b/daemon/forwarder/watch_test.go
@@ -33,7 +33,7 @@
 	for _, piece := range s {
 		switch {
 		case piece == "wait":
-			time.Sleep(6 * minSilenceTimeout.Duration())
+			time.Sleep((soundSilence + 2*minSilenceTimeout).Duration())
 		case piece == "trickle":
 			for r.Context().Err() == nil {
 				time.Sleep(minSilenceTimeout.Duration() / 4)
