--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -204,7 +204,8 @@
 		allowed = r.Budget.TakeRetry(r.req.Pool)
 	}
 	klog.InfoS("attempt failed", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream, "end", end.String(),
-		"reason", fmt.Sprint(err), "run_state", r.lastRun.State().String(), "tries", r.tries, "runs", r.runs, "left_ms", r.timeLeft(), "again", allowed)
+		"reason", fmt.Sprint(err), "run_state", r.lastRun.State().String(), "tries", r.tries, "runs", r.runs, "left_ms", r.timeLeft(), "again", allowed,
+		"scheduler", r.terms.Scheduler, "shard", r.terms.Shard, "granted_ms_ago", r.Clock.Now()-r.grantedAt)
 	r.metrics.countFailedAttempt(end)
 	return allowed
 }
