Leave a brittle upstream alone until the daemons have announced what runs there

Cause: a scheduler that has just got an upstream counts what the daemons announce that they run there. It granted before the announcements came: they need the new assignment (up to 100 ms old), the next reconciliation (200 ms) and the way. An upstream whose slots are full refuses, and with N of 0 one refusal is one too many.

Change: in the first 500 ms a scheduler grants nothing on an upstream that it knows to be brittle. Others are served as before.

What is left: a restarted daemon does not know that upstreams are brittle, so that this rule does not hold its first grants to its own callers.

--- a/daemon/granter/brittle_test.go
+++ b/daemon/granter/brittle_test.go
@@ -337,3 +337,48 @@
 		f.cut[[2]string{m.Name, scheduler.name}] = i%2 == 0 && m.Name != scheduler.name
 	}
 }
+
+// TestRestartedSchedulerDoesNotCrashBrittleUpstreams guards against a daemon that has just started, is the
+// scheduler at once, and does not know that upstreams are brittle, nor what runs on them.
+func TestRestartedSchedulerDoesNotCrashBrittleUpstreams(t *testing.T) {
+	const (
+		restarts = 3
+		downtime = 500 * time.Millisecond
+		interval = 5 * time.Second
+	)
+	for _, size := range [][2]int{{4, 3}, {9, 9}, {100, 16}} {
+		for seed, maxRefusals := range []int{0, 1, 3} {
+			if size[0] > 9 && seed > 0 && !soaks() {
+				continue
+			}
+			c := brittleCase{size[0], size[1], maxRefusals, 0, seed == 0, uint64(seed)}
+			t.Run(c.String(), func(t *testing.T) {
+				runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
+					for range restarts {
+						f.restartScheduler(downtime)
+						time.Sleep(interval)
+					}
+					b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
+				})
+			})
+		}
+	}
+}
+
+// waitingCallers is the number of requests that wait at a daemon as it starts.
+const waitingCallers = 8
+
+// restartScheduler stops the daemon that schedules the only shard, as planned, and starts it again after
+// downtime, with requests that wait there.
+func (f *limitedFleet) restartScheduler(downtime time.Duration) {
+	old := f.scheduler()
+	f.removeMember(old.name)
+	old.stop()
+	time.Sleep(downtime)
+	f.startDaemon(old.parent, old.name, old.region)
+	n := f.nodes[old.name]
+	for number := range waitingCallers {
+		go f.sendRequest(n, -1-number)
+	}
+	go f.sendRequests(n, old.perSecond, rand.New(rand.NewPCG(uint64(f.Now()), 7)))
+}
--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -87,6 +87,9 @@
 	remote     *reserver.Remote
 	ctx        context.Context
 	stop       context.CancelFunc
+	// parent is the context of the fleet, and perSecond the rate of the requests at this daemon.
+	parent    context.Context
+	perSecond float64
 }
 
 // Now implements clock.Clock.
@@ -142,7 +145,7 @@
 }
 
 func (f *limitedFleet) startDaemon(ctx context.Context, name, home string) {
-	n := &limitedNode{fleet: f, name: name, region: home}
+	n := &limitedNode{fleet: f, name: name, region: home, parent: ctx}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	v := limitedView{fleet: f, self: name, region: home}
 	assigner := &sharder.Assigner{Source: f.source, View: v, Clock: f}
@@ -233,6 +236,7 @@
 
 // sendRequests sends requests at random times until the daemon stops.
 func (f *limitedFleet) sendRequests(n *limitedNode, perSecond float64, random *rand.Rand) {
+	n.perSecond = perSecond
 	for number := 0; clock.Sleep(n.ctx, clock.Millis(1000*random.ExpFloat64()/perSecond)); number++ {
 		go f.sendRequest(n, number)
 	}
--- a/daemon/scheduler/brittle.go
+++ b/daemon/scheduler/brittle.go
@@ -29,6 +29,9 @@
 	// requests than it accepted. The time doubles with each refusal that comes before growthCalm has passed.
 	maxGrowthPause = 10 * clock.Second
 	growthCalm     = 10 * clock.Second
+	// announceTime is how long a scheduler that has just got a brittle upstream leaves it alone, until the
+	// daemons have announced what they run there.
+	announceTime = 500 * clock.Millisecond
 )
 
 // brittleness holds a brittle upstream to what it has room for. The zero value is that of an
@@ -105,6 +108,9 @@
 	if !b.named {
 		return true
 	}
+	if s.now-u.addedAt < announceTime {
+		return false
+	}
 	b.refusedAt = slices.DeleteFunc(b.refusedAt, func(at clock.Millis) bool { return s.now-at >= refusalWindow })
 	slots := u.Slots
 	if b.slots > 0 {
