Learn at the start what upstreams say of themselves

Callers of brittle workers saw broken connections and 502 when a daemon started again and was the scheduler of its shard at once: the workers fell over.

Cause: what an upstream says of itself (brittle, a limit, leaving) reaches a scheduler with the asks of daemons that know it. A daemon that has just started knows nothing, and its own asks, which have waited for its membership, come first.

Change: a daemon tells over each new link what it knows of upstreams (UpstreamNotice, which passes anyway, without a shard), and answers the heartbeat behind it.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -43,6 +43,7 @@
 			func(source inventory.Source, view gossiper.View, c clock.Clock) *sharder.Assigner {
 				return &sharder.Assigner{Source: source, View: view, Clock: c}
 			},
+			func(registerer prometheus.Registerer) *noticer.Noticer { return &noticer.Noticer{Registerer: registerer} },
 			newGranter,
 			newRemote,
 			newLimiter,
@@ -64,10 +65,10 @@
 	Service peerService `group:"peer_services"`
 }
 
-func newGranter(source inventory.Source, members *gossiper.Gossiper, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, flightRecorder *recorder.Recorder, registerer prometheus.Registerer) granterResult {
+func newGranter(source inventory.Source, members *gossiper.Gossiper, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, flightRecorder *recorder.Recorder, n *noticer.Noticer, registerer prometheus.Registerer) granterResult {
 	var shardCount atomic.Int64
 	g := &granter.Granter{
-		Source: source, View: members, LastContact: members.LastContact, Assigner: a, Clock: c, Registerer: registerer,
+		Source: source, View: members, LastContact: members.LastContact, Assigner: a, Clock: c, Noticer: n, Registerer: registerer,
 		NewDecider: func() granter.Decider {
 			return &recorder.RecordedScheduler{Recorder: flightRecorder, Shard: fmt.Sprint("shard-", shardCount.Add(1))}
 		},
@@ -79,11 +80,11 @@
 	return granterResult{Granter: g, Service: service}
 }
 
-func newRemote(s settings, source inventory.Source, view gossiper.View, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, g *granter.Granter, registerer prometheus.Registerer) *reserver.Remote {
+func newRemote(s settings, source inventory.Source, members *gossiper.Gossiper, a *sharder.Assigner, c clock.Clock, peers *connector.Connector, g *granter.Granter, n *noticer.Noticer, registerer prometheus.Registerer) *reserver.Remote {
+	view := gossiper.View(members)
 	region := view.Self().Region
 	return &reserver.Remote{
-		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer,
-		Noticer:     &noticer.Noticer{Registerer: registerer},
+		Source: source, View: view, Assigner: a, Clock: c, Registerer: registerer, Noticer: n, Settled: members.Settled,
 		KeptPrompts: s.Hosted != nil && s.Hosted.KeptPrompts,
 		Dial:        newDialer(view.Self().Name, g, reserver.NewStreamDialer(peers)),
 		Local: &reserver.Local{
--- a/daemon/granter/brittle_test.go
+++ b/daemon/granter/brittle_test.go
@@ -355,7 +355,7 @@
 			t.Run(c.String(), func(t *testing.T) {
 				runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
 					for range restarts {
-						f.restartScheduler(downtime)
+						f.restartScheduler(downtime, 0)
 						time.Sleep(interval)
 					}
 					b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
@@ -369,12 +369,22 @@
 const waitingCallers = 8
 
 // restartScheduler stops the daemon that schedules the only shard, as planned, and starts it again after
-// downtime, with requests that wait there.
-func (f *limitedFleet) restartScheduler(downtime time.Duration) {
+// downtime, with requests that wait there. The others learn of the start some time later.
+func (f *limitedFleet) restartScheduler(downtime, learnedAfter time.Duration) {
 	old := f.scheduler()
 	f.removeMember(old.name)
 	old.stop()
 	time.Sleep(downtime)
+	if learnedAfter > 0 {
+		var others []string
+		for name := range f.nodes {
+			if name != old.name {
+				others = append(others, name)
+			}
+		}
+		f.setView(others, func(name string) bool { return name != old.name })
+		time.AfterFunc(learnedAfter, f.endViews)
+	}
 	f.startDaemon(old.parent, old.name, old.region)
 	n := f.nodes[old.name]
 	for number := range waitingCallers {
@@ -382,3 +392,27 @@
 	}
 	go f.sendRequests(n, old.perSecond, rand.New(rand.NewPCG(uint64(f.Now()), 7)))
 }
+
+// endViews lets all daemons see all members again.
+func (f *limitedFleet) endViews() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.views)
+}
+
+// TestRestartedSchedulerKnowsTheWordsOfUpstreams guards against a daemon that has just started and sends its
+// own callers' requests to upstreams whose words the other daemons know and it does not.
+func TestRestartedSchedulerKnowsTheWordsOfUpstreams(t *testing.T) {
+	for seed, maxRefusals := range []int{0, 1} {
+		c := brittleCase{4, 3, maxRefusals, 0, true, uint64(seed)}
+		t.Run(c.String(), func(t *testing.T) {
+			runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
+				for range 3 {
+					f.restartScheduler(500*time.Millisecond, 150*time.Millisecond)
+					time.Sleep(5 * time.Second)
+				}
+				b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
+			})
+		})
+	}
+}
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -18,6 +18,7 @@
 	"yuccaspread/common/ring"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/noticer"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
 )
@@ -56,6 +57,9 @@
 	LastContact func() (at clock.Millis, found bool)
 	// NewDecider returns the scheduler for a shard that starts here.
 	NewDecider func() Decider
+	// Noticer holds what this daemon knows of the words of upstreams, which it tells daemons with a new
+	// session; nil tells nothing.
+	Noticer *noticer.Noticer
 	// Observer is called when a granted request ends; it may be nil.
 	Observer Observer
 	// ObserveStart is called when an upstream begins to answer a granted request, on the
--- a/daemon/granter/named_limit_test.go
+++ b/daemon/granter/named_limit_test.go
@@ -148,13 +148,14 @@
 	n := &limitedNode{fleet: f, name: name, region: home, parent: ctx}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	v := limitedView{fleet: f, self: name, region: home}
+	words := &noticer.Noticer{}
 	assigner := &sharder.Assigner{Source: f.source, View: v, Clock: f}
 	n.granter = &granter.Granter{
 		Source: f.source, View: v, Assigner: assigner, Clock: f, NewDecider: func() granter.Decider { return &scheduler.State{} },
-		LastContact: n.lastContact,
+		LastContact: n.lastContact, Noticer: words,
 	}
 	n.remote = &reserver.Remote{
-		Source: f.source, View: v, Assigner: assigner, Clock: f, Dial: n.dial,
+		Source: f.source, View: v, Assigner: assigner, Clock: f, Dial: n.dial, Noticer: words,
 		Local: &reserver.Local{Source: f.source, Clock: f, Daemons: func() int { return assigner.Current().Daemons(home) }},
 	}
 	f.mu.Lock()
--- a/daemon/granter/notices.go
+++ b/daemon/granter/notices.go
@@ -53,3 +53,21 @@
 		Brittle: e.Brittle, MaxRefusals: int32(e.MaxRefusals),
 	}}}
 }
+
+// tellWords tells a daemon with a new session what this one knows of upstreams, whoever schedules them. One
+// that has just started knows nothing of them. What finds no room is left out.
+func (s *Session) tellWords() {
+	if s.granter.Noticer == nil || s.daemon == s.granter.View.Self().Name {
+		return
+	}
+	now := s.granter.Clock.Now()
+	for upstream, word := range s.granter.Noticer.Words() {
+		notice := scheduler.NoticeChanged{
+			Upstream: upstream, HeardAt: word.HeardAt, Limited: word.Limited, Limit: word.Limit, Leaving: word.Leaving,
+			Brittle: word.Brittle, MaxRefusals: word.MaxRefusals,
+		}
+		if !s.outgoing.TryPush(noticeMessage("", notice, now)) {
+			return
+		}
+	}
+}
--- a/daemon/granter/session.go
+++ b/daemon/granter/session.go
@@ -106,6 +106,7 @@
 			return s.pushTo(ctx, r, toNotice(now, m.Notice))
 		}
 	case *wire.ReserveUp_Announced:
+		s.tellWords()
 		for _, r := range s.granter.allRunners() {
 			if err = s.pushTo(ctx, r, input{allAnnounced: true}); err != nil {
 				return err
--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -180,6 +180,13 @@
 	return word, found
 }
 
+// Words returns what upstreams are known to say of themselves, by their names.
+func (n *Noticer) Words() map[string]Word {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.words)
+}
+
 // Avoids reports whether an upstream must get no requests from this daemon now.
 func (n *Noticer) Avoids(now clock.Millis, upstream string) bool {
 	word, _ := n.WordOf(upstream)
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -176,6 +176,8 @@
 		}
 	case *wire.ReserveDown_Notice:
 		r.learnNotice(l, m.Notice)
+	case *wire.ReserveDown_Heartbeat:
+		l.noteAnswer()
 	case *wire.ReserveDown_Withdrawal:
 		if res := r.reservationOn(l, m.Withdrawal.GetAskId()); res != nil && !res.isWithdrawn {
 			res.isWithdrawn = true
--- a/daemon/reserver/link.go
+++ b/daemon/reserver/link.go
@@ -60,6 +60,8 @@
 	ready chan struct{}
 	// replaceable is closed once another link to the peer may be created.
 	replaceable chan struct{}
+	// answered is closed with the first heartbeat that the scheduler answers.
+	answered chan struct{}
 	// lastHeard is when the last message from the scheduler arrived, and lastUsed
 	// when an ask, or a message by pushOrWait, was last queued, both in
 	// milliseconds of Remote.Clock.
@@ -90,6 +92,7 @@
 	l := &link{
 		remote: r, peer: peer, afterFailure: r.unreachable[peer.Name], outgoing: ring.NewQueue[*wire.ReserveUp](upRingSize),
 		ctx: ctx, cancel: cancel, ready: make(chan struct{}), replaceable: make(chan struct{}),
+		answered: make(chan struct{}),
 	}
 	l.lastHeard.Store(int64(r.Clock.Now()))
 	l.lastUsed.Store(int64(r.Clock.Now()))
@@ -276,3 +279,12 @@
 	defer r.mu.Unlock()
 	return l.connected
 }
+
+// noteAnswer records that the scheduler has answered a heartbeat. It is called with Remote.mu held.
+func (l *link) noteAnswer() {
+	select {
+	case <-l.answered:
+	default:
+		close(l.answered)
+	}
+}
--- a/daemon/reserver/notices.go
+++ b/daemon/reserver/notices.go
@@ -95,13 +95,16 @@
 	return clock.Sleep(ctx, end-now), end - now
 }
 
-// learnNotice takes what a scheduler tells of an upstream. It is called with mu held.
+// learnNotice takes what a scheduler, or another daemon, tells of an upstream. It is called with mu held.
 func (r *Remote) learnNotice(l *link, notice *wire.UpstreamNotice) {
 	heardAt := r.Clock.Now() - clock.Millis(max(notice.GetHeardMsAgo(), 0))
 	r.Noticer.Learn(notice.GetUpstream(), noticer.Word{
 		Limited: notice.GetLimited(), Limit: notice.GetLimit(), Leaving: notice.GetLeaving(),
 		Brittle: notice.GetBrittle(), MaxRefusals: int(notice.GetMaxRefusals()), HeardAt: heardAt,
 	})
+	if notice.GetShard() == "" {
+		return
+	}
 	r.scheduledNotices[notice.GetUpstream()] = scheduled{l, notice.GetShard(), notice.GetLimited(), notice.GetLeaving(), notice.GetBrittle()}
 }
 
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -53,6 +53,8 @@
 	Local *Local
 	// Noticer keeps what upstreams say of themselves; nil stands for one of its own.
 	Noticer *noticer.Noticer
+	// Settled reports whether View holds the daemons of the fleet; nil means that it always does.
+	Settled func() bool
 	// KeptPrompts lets schedulers weigh which upstreams still hold parts of a prompt, for requests
 	// whose callers name the parts.
 	KeptPrompts bool
@@ -63,6 +65,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	metrics *metrics
+	// wordsLearned is closed once other daemons were asked what upstreams say of themselves.
+	wordsLearned chan struct{}
 
 	mu        sync.Mutex
 	lastAskID uint64
@@ -96,6 +100,7 @@
 		if r.Noticer == nil {
 			r.Noticer = &noticer.Noticer{}
 		}
+		r.wordsLearned = make(chan struct{})
 		r.metrics = newMetrics(r.Registerer)
 		r.reservations = map[uint64]*reservation{}
 		r.heldByUpstream = map[string]int{}
@@ -121,6 +126,7 @@
 func (r *Remote) Run(ctx context.Context) {
 	r.prepare()
 	defer r.cancel()
+	go r.learnWords(r.ctx)
 	ticker := time.NewTicker(reconcileInterval.Duration())
 	defer ticker.Stop()
 	for {
@@ -272,6 +278,10 @@
 		}
 		var retry <-chan struct{}
 		if scheduler, found := r.Assigner.Current().Scheduler(shard.ID); found {
+			if scheduler.Name == r.View.Self().Name {
+				// The scheduler of this process knows no more than this daemon does.
+				r.awaitWords(ctx)
+			}
 			l := r.linkTo(scheduler)
 			connected, nextTry := r.awaitLink(ctx, l)
 			if connected {
