Count a takeover from when the scheduler is first used

Callers of brittle workers saw broken connections and 502 when a daemon started again and was the scheduler at once.

Cause: a scheduler is careful with an upstream for some time after it has got it, as the one before may still use it. The careful time was over before it mattered.

Change: the time counts from the first ask or announcement, if that comes later. It holds for brittle and cold upstreams and for those with a limit.

TestBrittleUpstreamIsLeftAloneWhenTheSchedulerIsFirstUsed: a slot after 0 ms before, after 500 ms now.

Tests: the harness's settle lets a daemon use the scheduler before the time passes after which it is alone, and one test does the same by itself: they mean a scheduler that has been in use.

--- a/daemon/scheduler/brittle.go
+++ b/daemon/scheduler/brittle.go
@@ -85,7 +85,7 @@
 	if s.part > 0 {
 		room, refusals = s.part, min(s.part, sureShare)
 	}
-	if s.now-u.addedAt < takeoverTime {
+	if s.sinceTakeover(u) < takeoverTime {
 		room, refusals = min(room, unsureShare), min(refusals, unsureShare)
 	}
 	return room, refusals
@@ -108,7 +108,7 @@
 	if !b.named {
 		return true
 	}
-	if s.now-u.addedAt < announceTime {
+	if s.sinceTakeover(u) < announceTime {
 		return false
 	}
 	b.refusedAt = slices.DeleteFunc(b.refusedAt, func(at clock.Millis) bool { return s.now-at >= refusalWindow })
@@ -122,7 +122,7 @@
 	switch {
 	case occupied >= slots || u.running+s.lingering(u) >= max(room, 1):
 		return false
-	case budget < 1 && s.part > 0 && s.now-u.addedAt < takeoverTime:
+	case budget < 1 && s.part > 0 && s.sinceTakeover(u) < takeoverTime:
 		// The part of the fleet that had the upstream before still has its requests there.
 		return false
 	case len(b.refusedAt) > 0:
--- a/daemon/scheduler/brittle_test.go
+++ b/daemon/scheduler/brittle_test.go
@@ -246,3 +246,19 @@
 		})
 	}
 }
+
+// TestBrittleUpstreamIsLeftAloneWhenTheSchedulerIsFirstUsed guards against a scheduler that had an upstream for
+// long, with nobody asking, and grants before the daemons have announced what runs there.
+func TestBrittleUpstreamIsLeftAloneWhenTheSchedulerIsFirstUsed(t *testing.T) {
+	h := newHarness(8)
+	h.advance(10 * clock.Second)
+	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Brittle: true})
+	for end := h.now + 500*clock.Millisecond; h.now < end; h.advance(10) {
+		if _, upstream := h.askOnce(); upstream != "" {
+			t.Fatalf("slot on %q after %d ms", upstream, h.now-end+500)
+		}
+	}
+	if _, upstream := h.askOnce(); upstream == "" {
+		t.Error("no slot after the daemons had the time to announce theirs")
+	}
+}
--- a/daemon/scheduler/cold.go
+++ b/daemon/scheduler/cold.go
@@ -81,7 +81,7 @@
 // least burst, because what it got before it was known to be cold counts too.
 func (s *State) fillCold(u *upstream, limit inventory.ColdLimit) {
 	rate := limit.PerSecond
-	if s.divided || s.now-u.addedAt < takeoverTime {
+	if s.divided || s.sinceTakeover(u) < takeoverTime {
 		rate *= unsureShare
 	}
 	u.cold.allowance.Fill(s.now, rate, max(minColdBurst, rate*limitBurstTime.Duration().Seconds()))
--- a/daemon/scheduler/links_test.go
+++ b/daemon/scheduler/links_test.go
@@ -469,6 +469,7 @@
 // path being given away at a brittle upstream, which may still run them.
 func TestBrittleUpstreamKeepsRoomForRunsThatHang(t *testing.T) {
 	h := newHarness(4, 4)
+	h.use()
 	for _, u := range []string{"u0", "u1"} {
 		h.send(scheduler.Notice{Upstream: u, HeardAt: h.now, Brittle: true, MaxRefusals: 1})
 	}
--- a/daemon/scheduler/notices.go
+++ b/daemon/scheduler/notices.go
@@ -79,11 +79,22 @@
 	return began || differs
 }
 
+// noteUse records that a daemon uses this scheduler.
+func (s *State) noteUse() {
+	if s.usedSince == 0 {
+		s.usedSince = s.now
+	}
+}
+
+// sinceTakeover returns how long this scheduler has had an upstream and been used: a daemon that has just
+// started takes itself for the scheduler before the others know of it.
+func (s *State) sinceTakeover(u *upstream) clock.Millis { return s.now - max(u.addedAt, s.usedSince) }
+
 // limitRate returns the rate, in requests per second, at which an upstream with a limit gets
 // requests from here.
 func (s *State) limitRate(u *upstream) float64 {
 	rate := max(u.limit.perSecond, minNamedRate)
-	if s.divided || s.now-u.addedAt < takeoverTime {
+	if s.divided || s.sinceTakeover(u) < takeoverTime {
 		rate *= unsureShare
 	}
 	return rate
--- a/daemon/scheduler/notices_test.go
+++ b/daemon/scheduler/notices_test.go
@@ -10,8 +10,17 @@
 	"yuccaspread/daemon/scheduler"
 )
 
-// settle lets the time pass after which no other scheduler uses the upstreams.
-func (h *harness) settle() { h.advance(10 * clock.Second) }
+// settle lets a daemon use the scheduler, and the time pass after which no other one uses the upstreams.
+func (h *harness) settle() {
+	h.use()
+	h.advance(10 * clock.Second)
+}
+
+// use lets a daemon use the scheduler for the first time.
+func (h *harness) use() {
+	const number = 1 << 40
+	h.send(h.newAsk(number, 0), scheduler.Cancel{ID: askID(number)})
+}
 
 // countGrants asks at a rate far above any limit for a time, ends each request after 100 ms, and
 // returns the grants by upstream.
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -64,6 +64,8 @@
 	tokenGapTargetMS   float64
 
 	shares shares
+	// usedSince is when a daemon first asked here or announced a slot, 0 before that.
+	usedSince clock.Millis
 	// divided is set while another scheduler may use the same upstreams.
 	divided bool
 	// part is the share of the fleet that this scheduler serves, 0 for all.
@@ -144,6 +146,7 @@
 func (s *State) handle(m Message) {
 	switch m := m.(type) {
 	case Ask:
+		s.noteUse()
 		s.handleAsk(m)
 	case Cancel:
 		s.handleCancel(m)
@@ -154,6 +157,7 @@
 	case End:
 		s.handleEnd(m)
 	case Announce:
+		s.noteUse()
 		s.handleAnnounce(m)
 	case DaemonGone:
 		s.handleDaemonGone(m)
