--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -43,7 +43,9 @@
 			func(source inventory.Source, view gossiper.View, c clock.Clock) *sharder.Assigner {
 				return &sharder.Assigner{Source: source, View: view, Clock: c}
 			},
-			func(registerer prometheus.Registerer) *noticer.Noticer { return &noticer.Noticer{Registerer: registerer} },
+			func(registerer prometheus.Registerer) *noticer.Noticer {
+				return &noticer.Noticer{Registerer: registerer}
+			},
 			newGranter,
 			newRemote,
 			newLimiter,
