Leave a brittle upstream alone for a second after a takeover

Cause: until the daemons have announced what they run on an upstream, each of these passes: the gossip that tells them of the new scheduler (100 ms apart in the soak), the age of their members (100 ms), the next reconciliation or refresh (200 ms) and the way. The scheduler before serves its own daemon as long.

Others than brittle upstreams are served as before.

--- a/daemon/scheduler/brittle.go
+++ b/daemon/scheduler/brittle.go
@@ -31,7 +31,7 @@
 	growthCalm     = 10 * clock.Second
 	// announceTime is how long a scheduler that has just got a brittle upstream leaves it alone, until the
 	// daemons have announced what they run there.
-	announceTime = 500 * clock.Millisecond
+	announceTime = 1 * clock.Second
 )
 
 // brittleness holds a brittle upstream to what it has room for. The zero value is that of an
--- a/daemon/scheduler/brittle_test.go
+++ b/daemon/scheduler/brittle_test.go
@@ -253,9 +253,9 @@
 	h := newHarness(8)
 	h.advance(10 * clock.Second)
 	h.send(scheduler.Notice{Upstream: "u0", HeardAt: h.now, Brittle: true})
-	for end := h.now + 500*clock.Millisecond; h.now < end; h.advance(10) {
+	for end := h.now + clock.Second; h.now < end; h.advance(10) {
 		if _, upstream := h.askOnce(); upstream != "" {
-			t.Fatalf("slot on %q after %d ms", upstream, h.now-end+500)
+			t.Fatalf("slot on %q %d ms before the daemons had the time to announce theirs", upstream, end-h.now)
 		}
 	}
 	if _, upstream := h.askOnce(); upstream == "" {
