Let the scheduler before count a slot that has moved until its request ends

Callers of brittle workers saw broken connections and 502 when a daemon started again: the worker was full, and got one request more from the scheduler that had stood in.

Cause: a daemon that learns of a new scheduler announces its slots there and cancelled them where they came from. That one served on for up to 0.3 s, as it learned of it later or had not looked yet, took the cancelled slots for free and granted them to its own callers, while the requests still ran.

Change: the scheduler before is told when the request ends, or after a second. Where nobody knows whether the run has ended it is told that, as the new one is.

The tests of scheduler, reserver and granter pass.

--- a/daemon/granter/brittle_test.go
+++ b/daemon/granter/brittle_test.go
@@ -355,7 +355,7 @@
 			t.Run(c.String(), func(t *testing.T) {
 				runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
 					for range restarts {
-						f.restartScheduler(downtime, 0)
+						f.restartScheduler(downtime, 0, nobody)
 						time.Sleep(interval)
 					}
 					b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
@@ -369,22 +369,21 @@
 const waitingCallers = 8
 
 // restartScheduler stops the daemon that schedules the only shard, as planned, and starts it again after
-// downtime, with requests that wait there. The others learn of the start some time later.
-func (f *limitedFleet) restartScheduler(downtime, learnedAfter time.Duration) {
+// downtime, with requests that wait there. The others for which isLate returns true learn of the start some
+// time later.
+func (f *limitedFleet) restartScheduler(downtime, learnedAfter time.Duration, isLate func(n *limitedNode) bool) {
 	old := f.scheduler()
 	f.removeMember(old.name)
 	old.stop()
 	time.Sleep(downtime)
-	if learnedAfter > 0 {
-		var others []string
-		for name := range f.nodes {
-			if name != old.name {
-				others = append(others, name)
-			}
+	var late []string
+	for name, n := range f.nodes {
+		if name != old.name && isLate(n) {
+			late = append(late, name)
 		}
-		f.setView(others, func(name string) bool { return name != old.name })
-		time.AfterFunc(learnedAfter, f.endViews)
 	}
+	f.setView(late, func(name string) bool { return name != old.name })
+	time.AfterFunc(learnedAfter, f.endViews)
 	f.startDaemon(old.parent, old.name, old.region)
 	n := f.nodes[old.name]
 	for number := range waitingCallers {
@@ -408,7 +407,33 @@
 		t.Run(c.String(), func(t *testing.T) {
 			runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
 				for range 3 {
-					f.restartScheduler(500*time.Millisecond, 150*time.Millisecond)
+					f.restartScheduler(500*time.Millisecond, 150*time.Millisecond, everybody)
+					time.Sleep(5 * time.Second)
+				}
+				b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
+			})
+		})
+	}
+}
+
+func nobody(*limitedNode) bool    { return false }
+func everybody(*limitedNode) bool { return true }
+
+// TestSlotsThatMoveToAnotherSchedulerAreNotGrantedAgain guards against a scheduler that still serves some daemons
+// and grants the slots anew that others have announced to the next scheduler, while the requests run.
+func TestSlotsThatMoveToAnotherSchedulerAreNotGrantedAgain(t *testing.T) {
+	for seed, maxRefusals := range []int{0, 1} {
+		c := brittleCase{4, 3, maxRefusals, 0, false, uint64(seed)}
+		t.Run(c.String(), func(t *testing.T) {
+			runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
+				for range 3 {
+					standIn := ""
+					f.restartScheduler(4*time.Second, 250*time.Millisecond, func(n *limitedNode) bool {
+						if standIn == "" {
+							standIn = f.scheduler().name
+						}
+						return n.name == standIn
+					})
 					time.Sleep(5 * time.Second)
 				}
 				b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -56,10 +56,14 @@
 	stage stage
 	// link is the stream over which a scheduler knows of the reservation; nil
 	// for none.
-	link      *link
-	upstream  inventory.Upstream
-	version   string
-	grantedAt clock.Millis
+	link *link
+	// formerLink is the stream to the scheduler that a held slot has moved from, nil once that need not count
+	// it any more, and movedAt is when it moved.
+	formerLink *link
+	movedAt    clock.Millis
+	upstream   inventory.Upstream
+	version    string
+	grantedAt  clock.Millis
 	// expiresAt is when an unconfirmed slot is lost, 0 for never.
 	expiresAt clock.Millis
 	confirmed bool
@@ -322,22 +326,37 @@
 		}
 		r.Local.release(res.upstream.Name)
 	}
-	if l == nil {
-		return
-	}
 	r.mu.Lock()
+	former := res.takeFormer()
 	var decode clock.Millis
 	if res.firstTokenAt > 0 {
 		decode = r.Clock.Now() - res.firstTokenAt
 	}
 	told := res.takeTold()
 	r.mu.Unlock()
+	if former != nil {
+		former.pushOrWait(res.farewell(usage))
+	}
+	if l == nil {
+		return
+	}
 	l.pushOrWait(&wire.ReserveUp{Message: &wire.ReserveUp_End{End: &wire.End{
 		AskId: res.askID, Outcome: toWireOutcome(usage.Outcome), OutputTokens: int32(usage.OutputTokens), DecodeMs: int64(decode), Told: told,
 		NotRun: usage.NotRun,
 	}}})
 }
 
+// farewell returns the message that ends a slot at the scheduler that it has moved from. That one learns nothing
+// of the answer, but that the run may go on.
+func (res *reservation) farewell(usage Usage) *wire.ReserveUp {
+	switch usage.Outcome {
+	case Cancelled, ConnectionBroken, UpstreamDied:
+		return &wire.ReserveUp{Message: &wire.ReserveUp_End{End: &wire.End{AskId: res.askID, Outcome: wire.Outcome_OUTCOME_CANCELLED, NotRun: usage.NotRun}}}
+	case Completed, Failed, NotSent:
+	}
+	return cancelMessage(res.askID)
+}
+
 func toWireOutcome(outcome Outcome) wire.Outcome {
 	switch outcome {
 	case Completed:
--- a/daemon/reserver/follower.go
+++ b/daemon/reserver/follower.go
@@ -21,6 +21,9 @@
 	hasWaiting := map[*link]bool{}
 	for _, res := range r.reservations {
 		r.reassign(res, assignment)
+		if now-res.movedAt >= handoverTime {
+			res.leaveFormer()
+		}
 		res.reportSent(now)
 		hasWaiting[res.link] = hasWaiting[res.link] || res.stage == stageWaiting
 	}
@@ -46,6 +49,35 @@
 	}
 }
 
+// handoverTime is how long a scheduler still counts a held slot that has moved to another one: it may not
+// know of that yet, and would grant the slot again while the request runs.
+const handoverTime = 1 * clock.Second
+
+// moveFrom records that a held slot moves from the scheduler at the end of a stream to another one. It is called
+// with Remote.mu held.
+func (res *reservation) moveFrom(l *link, now clock.Millis) {
+	res.leaveFormer()
+	res.formerLink, res.movedAt = l, now
+}
+
+// leaveFormer frees a slot that has moved at the scheduler that still counts it. It is called with Remote.mu held.
+func (res *reservation) leaveFormer() {
+	if former := res.takeFormer(); former != nil {
+		former.pushOrClose(cancelMessage(res.askID))
+	}
+}
+
+// takeFormer returns the stream to the scheduler that still counts a slot that has moved, nil for none, and forgets
+// it. It is called with Remote.mu held.
+func (res *reservation) takeFormer() (former *link) {
+	former = res.formerLink
+	res.formerLink = nil
+	if former == res.link {
+		return nil
+	}
+	return former
+}
+
 // reassign detaches a reservation from a stream to another daemon than the
 // scheduler of its shard, and announces a held slot to that scheduler. It is
 // called with mu held.
@@ -55,7 +87,11 @@
 		return
 	}
 	if l := res.link; l != nil && l.peer.Name != scheduler.Name {
-		l.pushOrClose(cancelMessage(res.askID))
+		if res.stage == stageHeld {
+			res.moveFrom(l, r.Clock.Now())
+		} else {
+			l.pushOrClose(cancelMessage(res.askID))
+		}
 		res.detachLink()
 	}
 	if res.stage != stageHeld || res.link != nil || res.isExpired() {
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -367,8 +367,17 @@
 // cancelReservation ends an ask, or a slot that was granted meanwhile, and cancels
 // it at the scheduler.
 func (r *Remote) cancelReservation(res *reservation) {
-	if l, isFirst := r.release(res); isFirst && l != nil {
-		l.pushOrWait(cancelMessage(res.askID))
+	l, isFirst := r.release(res)
+	if !isFirst {
+		return
+	}
+	r.mu.Lock()
+	former := res.takeFormer()
+	r.mu.Unlock()
+	for _, known := range []*link{l, former} {
+		if known != nil {
+			known.pushOrWait(cancelMessage(res.askID))
+		}
 	}
 }
 
