Do not fail the shard when a dropped ask has ended meanwhile

Callers see longer waits, as all daemons ask and announce anew; before the whole daemon ended with code 2, and with it every request that it had read.

Cause: on a new session of a daemon the shard drops what that does not announce, from a list of ids that it has made before. Dropping one lets the scheduler grant and refuse others; a refused one is gone from the shard's state when its turn comes.

Change: one that is gone is passed over.

TestRefusedAsksOfAnEarlierSessionDoNotFailTheShard: the scheduler was started twice before, once now.

--- a/daemon/granter/failure_test.go
+++ b/daemon/granter/failure_test.go
@@ -413,3 +413,47 @@
 	second.End(reserver.Usage{})
 	waitFor(t, "all slots are free", func() bool { r, w := counts(); return r == 0 && w == 0 })
 }
+
+// refusingDecider refuses all asks once one is cancelled.
+type refusingDecider struct{ asked []scheduler.AskID }
+
+func (d *refusingDecider) Update(_ clock.Millis, m scheduler.Message) (effects []scheduler.Effect) {
+	switch m := m.(type) {
+	case scheduler.Ask:
+		d.asked = append(d.asked, m.ID)
+	case scheduler.Cancel:
+		for _, id := range d.asked {
+			effects = append(effects, scheduler.Refuse{ID: id, Reason: scheduler.ReasonDeadline})
+		}
+	}
+	return effects
+}
+
+// TestRefusedAsksOfAnEarlierSessionDoNotFailTheShard guards against a shard that ends because an ask that it drops
+// was refused while it dropped another one.
+func TestRefusedAsksOfAnEarlierSessionDoNotFailTheShard(t *testing.T) {
+	c := newCluster(t, 1)
+	var started atomic.Int64
+	c.newDecider = func() granter.Decider {
+		started.Add(1)
+		return &refusingDecider{}
+	}
+	n := c.start("d1", region)
+	send := func(s *granter.Session, up *wire.ReserveUp) {
+		t.Helper()
+		if err := s.Send(t.Context(), up); err != nil {
+			t.Fatal(err)
+		}
+	}
+	session := n.granter.Attach("asker")
+	for id := range uint64(3) {
+		send(session, &wire.ReserveUp{Message: &wire.ReserveUp_Ask{Ask: &wire.Ask{
+			AskId: id + 1, Shard: region + "/" + pool + "/0", RemainingMs: int64(clock.Minute),
+		}}})
+	}
+	send(n.granter.Attach("asker"), &wire.ReserveUp{Message: &wire.ReserveUp_Announced{Announced: &wire.Announced{}}})
+	time.Sleep(500 * time.Millisecond)
+	if got := started.Load(); got != 1 {
+		t.Errorf("the scheduler of the shard was started %d times", got)
+	}
+}
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -255,7 +255,10 @@
 	}
 	if hasClaimed || in.allAnnounced {
 		for _, id := range unclaimed {
-			r.cancelAsk(id, r.asks[id])
+			// The effects of dropping one may have ended others.
+			if state := r.asks[id]; state != nil {
+				r.cancelAsk(id, state)
+			}
 		}
 		return
 	}
