Count the runs of a daemon's earlier process until they may have ended

Callers of brittle workers saw broken connections and 502 when a daemon was killed and was back at once.

Cause: what a daemon does not announce on a new session was freed as if it had ended. That holds where its connection broke; a process that starts again announces nothing, while the workers still run what the one before sent.

Change: a granted slot that is not announced ends like one whose caller has left: at a brittle upstream it counts for three times the longest run of late, 1.5 to 4 s. Other upstreams are as before.

--- a/daemon/granter/brittle_test.go
+++ b/daemon/granter/brittle_test.go
@@ -441,3 +441,36 @@
 		})
 	}
 }
+
+// TestRunsOfAKilledDaemonKeepTheirSlots guards against slots that are granted again when a daemon that was killed
+// is back, while the requests of its last process still run.
+func TestRunsOfAKilledDaemonKeepTheirSlots(t *testing.T) {
+	for seed, maxRefusals := range []int{0, 1} {
+		c := brittleCase{4, 3, maxRefusals, 0, false, uint64(seed)}
+		t.Run(c.String(), func(t *testing.T) {
+			runBrittle(t, c, func(f *limitedFleet, b *brittleUpstreams) {
+				for i := range 6 {
+					f.restartFollower(i)
+					time.Sleep(2 * time.Second)
+				}
+				b.check(t, b.occupiedShare(12*time.Second), usedShare-0.05)
+			})
+		})
+	}
+}
+
+// restartFollower kills a daemon that schedules nothing and starts it again at once.
+func (f *limitedFleet) restartFollower(index int) {
+	var followers []string
+	for name := range f.nodes {
+		if name != f.scheduler().name {
+			followers = append(followers, name)
+		}
+	}
+	slices.Sort(followers)
+	old := f.nodes[followers[index%len(followers)]]
+	old.stop()
+	f.removeMember(old.name)
+	f.startDaemon(old.parent, old.name, old.region)
+	go f.sendRequests(f.nodes[old.name], old.perSecond, rand.New(rand.NewPCG(uint64(f.Now()), 7)))
+}
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -9,6 +9,7 @@
 	"yuccaspread/common/clock"
 	"yuccaspread/common/ring"
 	"yuccaspread/common/wire"
+	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 	"yuccaspread/daemon/sharder"
 )
@@ -257,7 +258,7 @@
 		for _, id := range unclaimed {
 			// The effects of dropping one may have ended others.
 			if state := r.asks[id]; state != nil {
-				r.cancelAsk(id, state)
+				r.dropAsk(id, state)
 			}
 		}
 		return
@@ -268,6 +269,17 @@
 	r.update(scheduler.DaemonGone{Daemon: daemon})
 }
 
+// dropAsk removes an ask or grant of which its daemon knows nothing. An earlier process of the daemon may have
+// sent the request, which then still runs.
+func (r *runner) dropAsk(id scheduler.AskID, state *askState) {
+	if state.upstream == "" {
+		r.cancelAsk(id, state)
+		return
+	}
+	r.removeAsk(id, state)
+	r.update(scheduler.End{ID: id, Usage: reserver.Usage{Outcome: reserver.Cancelled}})
+}
+
 // cancelAsk removes an ask or grant that its daemon no longer claims, and
 // cancels it at the scheduler.
 func (r *runner) cancelAsk(id scheduler.AskID, state *askState) {
