Ask a daemon that may know, and never wait for a scheduler that hands over

From reading afresh: - All daemons that start asked the first one by name. With 350 that one would get all links, and where several start at once it may know nothing either. Now it is any of the region, of those that have run for 10 s longer if there are some. - The end of a request waited for room in the queue to the scheduler before, 6 s at most if that is frozen. Now the link is closed instead, as for other messages that may not wait.

TestStartingDaemonAsksOnesThatMayKnow: without the age 3 of 5 runs asked the young one first; passes. The tests of reserver and granter pass.

--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -335,7 +335,7 @@
 	told := res.takeTold()
 	r.mu.Unlock()
 	if former != nil {
-		former.pushOrWait(res.farewell(usage))
+		former.pushOrClose(res.farewell(usage))
 	}
 	if l == nil {
 		return
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -374,10 +374,11 @@
 	r.mu.Lock()
 	former := res.takeFormer()
 	r.mu.Unlock()
-	for _, known := range []*link{l, former} {
-		if known != nil {
-			known.pushOrWait(cancelMessage(res.askID))
-		}
+	if l != nil {
+		l.pushOrWait(cancelMessage(res.askID))
+	}
+	if former != nil {
+		former.pushOrClose(cancelMessage(res.askID))
 	}
 }
 
--- a/daemon/reserver/words.go
+++ b/daemon/reserver/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"k8s.io/klog/v2"
@@ -17,6 +18,8 @@
 	maxTeachers  = 2
 	// memberPollInterval is the time between two looks for another daemon.
 	memberPollInterval = 20 * clock.Millisecond
+	// teacherAge is how many milliseconds a daemon has been running for longer that has heard of upstreams.
+	teacherAge = int64(10 * clock.Second)
 )
 
 // learnWords lets another daemon tell what upstreams say of themselves, and closes wordsLearned then or when
@@ -43,18 +46,38 @@
 	klog.InfoS("no daemon told what upstreams say of themselves", "asked", asked, "took_ms", r.Clock.Now()-began)
 }
 
-// nextTeacher returns a daemon that is alive and was not asked yet, one of this region if there is any.
+// nextTeacher returns a daemon that is alive and was not asked yet: one of this region if there is any, and one that
+// has run for longer than this one if there is any.
 func (r *Remote) nextTeacher(asked []string) (teacher gossiper.Member, found bool) {
 	self := r.View.Self()
+	var best []gossiper.Member
+	bestRank := 0
 	for _, m := range r.View.Members() {
 		if m.Name == self.Name || m.State != gossiper.Alive || slices.Contains(asked, m.Name) {
 			continue
 		}
-		if !found || m.Region == self.Region && teacher.Region != self.Region {
-			teacher, found = m, true
+		switch rank := teacherRank(self, m); {
+		case len(best) == 0 || rank < bestRank:
+			best, bestRank = []gossiper.Member{m}, rank
+		case rank == bestRank:
+			best = append(best, m)
 		}
 	}
-	return teacher, found
+	if len(best) == 0 {
+		return teacher, false
+	}
+	return best[rand.IntN(len(best))], true
+}
+
+// teacherRank is lower for a daemon that self should rather ask.
+func teacherRank(self, m gossiper.Member) (rank int) {
+	if m.Region != self.Region {
+		rank += 2
+	}
+	if self.Incarnation-m.Incarnation < teacherAge {
+		rank++
+	}
+	return rank
 }
 
 // learnFrom opens a link to a daemon and reports whether that has told all that it knows.
