Wait for a daemon of the region to tell what upstreams say

From reading afresh: a daemon that starts asked the first one that it found, of another region too. That one knows the words of this region's upstreams only if it has sent requests there.

Change: until the membership is settled only daemons of the region are asked.

TestStartingDaemonWaitsForItsRegion: before, "asked far before the fleet was known"; passes. The tests of reserver and granter pass.

--- a/daemon/reserver/words.go
+++ b/daemon/reserver/words.go
@@ -30,10 +30,12 @@
 	var asked []string
 	for ctx.Err() == nil && len(asked) < maxTeachers {
 		teacher, found := r.nextTeacher(asked)
-		if !found {
-			if r.Settled == nil || r.Settled() {
-				break
-			}
+		settled := r.Settled == nil || r.Settled()
+		if !found && settled {
+			break
+		}
+		// Daemons of this region know most of its upstreams; they may just not be found yet.
+		if !settled && (!found || teacher.Region != r.View.Self().Region) {
 			clock.Sleep(ctx, memberPollInterval)
 			continue
 		}
--- a/daemon/reserver/words_test.go
+++ b/daemon/reserver/words_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,25 +30,54 @@
 		{Name: "old", Region: "a", Incarnation: started - int64(clock.Minute)},
 		{Name: "young", Region: "a", Incarnation: started - int64(clock.Second)},
 	}
-	source := &fixedSource{}
-	dialled := make(chan string, len(view))
+	dialled := startRemote(t, view, nil)
+	for _, want := range []string{"old", "young"} {
+		if name := receive(t, dialled); name != want {
+			t.Errorf("asked %s, want %s", name, want)
+		}
+	}
+}
+
+func receive(t *testing.T, names <-chan string) string {
+	t.Helper()
+	select {
+	case name := <-names:
+		return name
+	case <-time.After(5 * time.Second):
+		t.Fatal("no daemon was asked")
+		return ""
+	}
+}
+
+// TestStartingDaemonWaitsForItsRegion guards against a daemon that asks one of another region while it has not
+// found those of its own.
+func TestStartingDaemonWaitsForItsRegion(t *testing.T) {
+	view := members{{Name: "self", Region: "a"}, {Name: "far", Region: "b"}}
+	var settled atomic.Bool
+	dialled := startRemote(t, view, settled.Load)
+	select {
+	case name := <-dialled:
+		t.Errorf("asked %s before the fleet was known", name)
+	case <-time.After(200 * time.Millisecond):
+	}
+	settled.Store(true)
+	if name := receive(t, dialled); name != "far" {
+		t.Errorf("asked %s", name)
+	}
+}
+
+// startRemote starts a Remote that reaches no daemon, and returns the names of those that it dials.
+func startRemote(t *testing.T, view members, settled func() bool) (dialled <-chan string) {
+	t.Helper()
+	source, names := &fixedSource{}, make(chan string, len(view))
 	remote := &reserver.Remote{
 		Source: source, View: view, Clock: clock.System{}, Local: &reserver.Local{Source: source, Clock: clock.System{}},
-		Assigner: &sharder.Assigner{Source: source, View: view},
+		Assigner: &sharder.Assigner{Source: source, View: view}, Settled: settled,
 		Dial: func(_ context.Context, to gossiper.Member) (reserver.Conn, error) {
-			dialled <- to.Name
+			names <- to.Name
 			return nil, errors.New("connection refused")
 		},
 	}
 	go remote.Run(t.Context())
-	for _, want := range []string{"old", "young"} {
-		select {
-		case name := <-dialled:
-			if name != want {
-				t.Errorf("asked %s, want %s", name, want)
-			}
-		case <-time.After(5 * time.Second):
-			t.Fatalf("%s was not asked", want)
-		}
-	}
+	return names
 }
