--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -278,11 +278,7 @@
 		}
 		var retry <-chan struct{}
 		if scheduler, found := r.Assigner.Current().Scheduler(shard.ID); found {
-			if scheduler.Name == r.View.Self().Name {
-				// The scheduler of this process knows no more than this daemon does.
-				r.awaitWords(ctx)
-			}
-			l := r.linkTo(scheduler)
+			l := r.linkForAsks(ctx, scheduler)
 			connected, nextTry := r.awaitLink(ctx, l)
 			if connected {
 				res, done, err := r.askAt(ctx, l, w, shard)
--- a/daemon/reserver/words.go
+++ b/daemon/reserver/words.go
@@ -100,6 +100,15 @@
 	return false
 }
 
+// linkForAsks returns the link to a scheduler. That of this process knows no more than this daemon does, so that it
+// is asked for nothing before the words are learned.
+func (r *Remote) linkForAsks(ctx context.Context, scheduler gossiper.Member) *link {
+	if scheduler.Name == r.View.Self().Name {
+		r.awaitWords(ctx)
+	}
+	return r.linkTo(scheduler)
+}
+
 // awaitWords waits until this daemon has been told what upstreams say of themselves, or none has answered.
 func (r *Remote) awaitWords(ctx context.Context) {
 	select {
