Read the words of upstreams without a race with the first notice

A new link reads the words while the first notice of this daemon makes the map.

Change: Words looks at the number of entries first, as the other readers do. TestWordsAreReadBesideTheFirstNotice fails before with the race detector, passes 20 times now.

--- a/daemon/noticer/noticer.go
+++ b/daemon/noticer/noticer.go
@@ -182,6 +182,9 @@
 
 // Words returns what upstreams are known to say of themselves, by their names.
 func (n *Noticer) Words() map[string]Word {
+	if n.size.Load() == 0 {
+		return nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return maps.Clone(n.words)
--- a/daemon/noticer/noticer_test.go
+++ b/daemon/noticer/noticer_test.go
@@ -130,3 +130,18 @@
 		t.Error("a pause that has ended is kept")
 	}
 }
+
+// TestWordsAreReadBesideTheFirstNotice guards against a data race between the first notice and a reader.
+func TestWordsAreReadBesideTheFirstNotice(t *testing.T) {
+	var n noticer.Noticer
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_ = n.Words()
+	}()
+	n.Observe(1, "r", "u", noticer.Notice{Brittle: true})
+	<-read
+	if word := n.Words()["u"]; !word.Brittle {
+		t.Errorf("got %+v", word)
+	}
+}
