--- /dev/null
+++ b/review/stand-2/worker.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// runWorker serves requests as a worker of the users' platform. What it runs goes to standard output.
+func runWorker(arguments []string) {
+	var w workerOptions
+	flags := flag.NewFlagSet("worker", flag.ExitOnError)
+	address := flags.String("address", "", "address to listen on")
+	flags.StringVar(&w.id, "id", "", "id in the store")
+	flags.IntVar(&w.slots, "slots", 5, "requests at once")
+	flags.IntVar(&w.events, "events", 10, "events of a stream")
+	flags.IntVar(&w.eventBytes, "event-bytes", 50, "bytes of an event")
+	flags.DurationVar(&w.gap, "gap", 20*time.Millisecond, "time between two events, or of a request")
+	flags.DurationVar(&w.first, "first", 20*time.Millisecond, "time until the first event")
+	flags.Float64Var(&w.slowdown, "slowdown", 0, "how much longer all takes with each further request that runs, as a share")
+	flags.BoolVar(&w.unframed, "unframed", false, "answer with neither a length nor chunks")
+	flags.Float64Var(&w.failShare, "fail-share", 0, "share of requests that fail, in turn")
+	flags.StringVar(&w.limit, "limit", "", "the Server-Limit that all answers name")
+	flags.StringVar(&w.crashPart, "crash-part", "", "part of a prompt that crashes this worker once it begins to write")
+	_ = flags.Parse(arguments)
+	socket, err := net.Listen("tcp", *address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	for {
+		conn, err := socket.Accept()
+		if err != nil {
+			return
+		}
+		go w.serve(conn)
+	}
+}
+
+type workerOptions struct {
+	id                        string
+	slots, events, eventBytes int
+	gap, first                time.Duration
+	unframed                  bool
+	failShare, slowdown       float64
+	crashPart, limit          string
+	count                     atomic.Int64
+	running                   atomic.Int64
+}
+
+// say writes a line on what became of a request, with the Unix time in milliseconds.
+func (w *workerOptions) say(format string, values ...any) {
+	fmt.Printf("%d %s "+format+"\n", append([]any{time.Now().UnixMilli(), w.id}, values...)...)
+}
+
+func (w *workerOptions) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if !w.answer(conn, req) {
+			return
+		}
+	}
+}
+
+// sleep sleeps for a time that grows with the number of running requests.
+func (w *workerOptions) sleep(alone time.Duration) {
+	time.Sleep(time.Duration(float64(alone) * (1 + w.slowdown*float64(w.running.Load()-1))))
+}
+
+// answer runs a request and reports whether the connection can carry another one.
+func (w *workerOptions) answer(conn net.Conn, req *http.Request) (goesOn bool) {
+	id := req.Header.Get("Attempt-Id")
+	mark := fmt.Sprintf("Attempt-Id: %s\r\nServer-Load: %d,0,%d\r\n", id, w.running.Load(), w.slots)
+	if w.limit != "" {
+		mark += "Server-Limit: " + w.limit + "\r\n"
+	}
+	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%sInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", mark, w.id)
+		return err == nil
+	}
+	if w.running.Add(1) > int64(w.slots) {
+		w.running.Add(-1)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", mark)
+		return err == nil
+	}
+	defer w.running.Add(-1)
+	w.say("runs %s %s", id, req.RequestURI)
+	if w.crashPart != "" && strings.Contains(req.Header.Get("Prompt-Prefix"), w.crashPart) {
+		w.sleep(w.first)
+		w.say("crashes on %s", id)
+		os.Exit(exitBroken)
+	}
+	n := w.count.Add(1)
+	if int64(float64(n)*w.failShare) > int64(float64(n-1)*w.failShare) {
+		w.sleep(w.first)
+		w.say("fails %s", id)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%sResponse-Seal: %s.%s\r\nContent-Length: 5\r\n\r\nerror", mark, w.id, id)
+		return err == nil
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sResponse-Seal: %s.%s\r\nContent-Type: text/event-stream\r\n", mark, w.id, id)
+	if w.unframed {
+		head += "Connection: close\r\n\r\n"
+	} else {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+	}
+	w.sleep(w.first)
+	for i := 1; i <= w.events; i++ {
+		if i > 1 {
+			w.sleep(w.gap)
+		}
+		text := fmt.Sprintf("id: %d\ndata: %d of %d ", i, i, w.events)
+		text += strings.Repeat("x", max(w.eventBytes-len(text)-2, 0)) + "\n\n"
+		if !w.unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(conn, head+text); err != nil {
+			w.say("cut %s after %d events", id, i-1)
+			return false
+		}
+		head = ""
+	}
+	w.say("completes %s", id)
+	if w.unframed {
+		return false
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
