--- a/review/stand-2/bed.go
+++ b/review/stand-2/bed.go
@@ -208,24 +208,51 @@
 // daemon is a daemon of the project, started as the deploy file says.
 type daemon struct {
 	*process
-	name, front, ready, control, directory, settings, log string
+	name, front, ready, control, directory, metrics, settings, log string
 }
 
-// addDaemons starts some daemons, with the settings that deploy/node.tmpl renders for a small deployment.
+// addDaemons starts some daemons, whose seeds are the first three of them.
 func (b *bed) addDaemons(count int) (err error) {
-	var seeds []string
-	for i := range count {
-		d := &daemon{
-			name: fmt.Sprintf("front-wien-a-%d", i+1), front: freePort(), ready: freePort(), control: freePort(), directory: freePort(),
-			settings: filepath.Join(b.folder, fmt.Sprintf("node-%d.toml", i+1)), log: filepath.Join(b.folder, fmt.Sprintf("daemon-%d.log", i+1)),
-		}
-		b.daemons = append(b.daemons, d)
-		if len(seeds) < 3 {
-			seeds = append(seeds, fmt.Sprintf("%q", d.control))
+	var added []*daemon
+	for range count {
+		added = append(added, b.newDaemon())
+	}
+	for _, d := range added {
+		if err = b.startDaemon(d, added[:min(count, maxSeeds)]); err != nil {
+			return err
 		}
 	}
-	for _, d := range b.daemons {
-		text := fmt.Sprintf(`name = %q
+	return nil
+}
+
+// maxSeeds is the number of seeds that the platform names at most.
+const maxSeeds = 3
+
+// newDaemon returns a daemon that is not started yet.
+func (b *bed) newDaemon() *daemon {
+	n := len(b.daemons) + 1
+	d := &daemon{
+		name: fmt.Sprintf("front-wien-a-%d", n), front: freePort(), ready: freePort(), control: freePort(), directory: freePort(), metrics: freePort(),
+		settings: filepath.Join(b.folder, fmt.Sprintf("node-%d.toml", n)), log: filepath.Join(b.folder, fmt.Sprintf("daemon-%d.log", n)),
+	}
+	b.daemons = append(b.daemons, d)
+	return d
+}
+
+func (b *bed) startDaemon(d *daemon, seeds []*daemon) (err error) {
+	if err = b.writeSettings(d, seeds); err != nil {
+		return err
+	}
+	return d.start()
+}
+
+// writeSettings writes the settings that deploy/node.tmpl renders for a small deployment.
+func (b *bed) writeSettings(d *daemon, seeds []*daemon) error {
+	var addresses []string
+	for _, seed := range seeds {
+		addresses = append(addresses, fmt.Sprintf("%q", seed.control))
+	}
+	return os.WriteFile(d.settings, []byte(fmt.Sprintf(`name = %q
 listen = %q
 peer_listen = %q
 region = "wien"
@@ -250,15 +277,7 @@
 
 [hosted.regions]
 "wien-a" = "wien"
-`, d.name, d.front, d.control, b.address, strings.Join(seeds, ","), d.ready, d.directory, freePort())
-		if err = os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
-			return err
-		}
-		if err = d.start(); err != nil {
-			return err
-		}
-	}
-	return nil
+`, d.name, d.front, d.control, b.address, strings.Join(addresses, ","), d.ready, d.directory, d.metrics)), 0o600)
 }
 
 func (d *daemon) start() (err error) {
@@ -347,12 +366,17 @@
 // route is a route of the operator's config.
 type route map[string]any
 
-// putConfig writes a config.
+// putConfig writes a config with one tenant, which has no limit.
 func (b *bed) putConfig(version int, routes []route, services []map[string]any) {
+	b.putLimitedConfig(version, routes, services, 0)
+}
+
+// putLimitedConfig writes a config with one tenant, which may use some tokens a second and as many at once; 0 is no limit.
+func (b *bed) putLimitedConfig(version int, routes []route, services []map[string]any, tokensPerSecond int) {
 	b.store.put("op", "config", map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api-keys": []string{"key-1"}, "priority": 0, "unit": "tokens", "plain-tokens": 200, "rate-per-s": 0, "burst": 0}},
+		"tenants": []any{map[string]any{"name": "hule930", "api-keys": []string{"key-1"}, "priority": 0, "unit": "tokens", "plain-tokens": 200, "rate-per-s": tokensPerSecond, "burst": tokensPerSecond}},
 	})
 }
 
--- a/review/stand-2/caller.go
+++ b/review/stand-2/caller.go
@@ -15,7 +15,9 @@
 // call is one request of a caller.
 type call struct {
 	method, path, id, prefix string
-	deadline                 time.Duration
+	// tokens are those of the Token-Count, the prompt's and the largest number of output tokens.
+	tokens   [2]int
+	deadline time.Duration
 	// bytesPerSecond bounds how fast the answer is read, 0 for no bound. The socket of a slow caller has a
 	// receive buffer of a fixed size.
 	bytesPerSecond int
@@ -44,7 +46,11 @@
 	defer func() { _ = conn.Close() }()
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer key-1\r\n", c.method, c.path, c.id, c.deadline.Milliseconds())
 	if c.prefix != "" {
-		text += fmt.Sprintf("Model: m\r\nToken-Count: 100,80\r\nPrompt-Prefix: %s\r\n", c.prefix)
+		tokens := c.tokens
+		if tokens == [2]int{} {
+			tokens = [2]int{100, 80}
+		}
+		text += fmt.Sprintf("Model: m\r\nToken-Count: %d,%d\r\nPrompt-Prefix: %s\r\n", tokens[0], tokens[1], c.prefix)
 	}
 	body := ""
 	if c.method != http.MethodGet {
--- a/review/stand-2/load.go
+++ b/review/stand-2/load.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,10 @@
 	bed *bed
 	// perSecond is the number of calls a second.
 	perSecond float64
+	// daemons are those that get the calls; nil stands for all of the bed.
+	daemons []*daemon
+	// name begins the ids of the calls.
+	name string
 	// next returns the n-th call, from 1.
 	next func(n int) call
 	// done is called with each result; it may be nil.
@@ -24,6 +29,10 @@
 
 func (l *load) start() {
 	l.ended = make(chan struct{})
+	daemons := l.daemons
+	if daemons == nil {
+		daemons = l.bed.daemons
+	}
 	l.calls.Go(func() {
 		began := time.Now()
 		for n := 1; ; n++ {
@@ -33,9 +42,9 @@
 				return
 			case <-time.After(time.Until(due)):
 			}
-			c, d := l.next(n), l.bed.daemons[n%len(l.bed.daemons)]
+			c, d := l.next(n), daemons[n%len(daemons)]
 			if c.id == "" {
-				c.id = fmt.Sprintf("load-%d", n)
+				c.id = fmt.Sprintf("%s-%d", cmp.Or(l.name, "load"), n)
 			}
 			l.sent.Add(1)
 			l.calls.Go(func() {
