--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +37,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	w.factor.Store(1)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		for range signals {
+			w.factor.Store(1 + slowFactor - w.factor.Load())
+		}
+	}()
 	for {
 		conn, err := socket.Accept()
 		if err != nil {
@@ -44,6 +54,9 @@
 	}
 }
 
+// slowFactor is how much longer all takes on a worker that is slow, from one SIGUSR1 to the next.
+const slowFactor = 5
+
 type workerOptions struct {
 	id                        string
 	slots, events, eventBytes int
@@ -53,6 +66,8 @@
 	crashPart, limit          string
 	count                     atomic.Int64
 	running                   atomic.Int64
+	// factor is 1, or slowFactor.
+	factor atomic.Int64
 }
 
 // say writes a line on what became of a request, with the Unix time in milliseconds.
@@ -77,7 +92,7 @@
 
 // sleep sleeps for a time that grows with the number of running requests.
 func (w *workerOptions) sleep(alone time.Duration) {
-	time.Sleep(time.Duration(float64(alone) * (1 + w.slowdown*float64(w.running.Load()-1))))
+	time.Sleep(time.Duration(float64(alone*time.Duration(w.factor.Load())) * (1 + w.slowdown*float64(w.running.Load()-1))))
 }
 
 // answer runs a request and reports whether the connection can carry another one.
@@ -87,6 +102,10 @@
 	if w.limit != "" {
 		mark += "Server-Limit: " + w.limit + "\r\n"
 	}
+	if id == "" {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%sInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", mark, w.id)
 		return err == nil
