--- a/review/stand-2/case_beside.go
+++ b/review/stand-2/case_beside.go
@@ -33,7 +33,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	l := &load{bed: b, perSecond: 12, next: func(int) call {
+	l := &load{bed: b, perSecond: 35, next: func(int) call {
 		return call{method: "POST", path: "/lohu930/2f", deadline: 5 * time.Second}
 	}}
 	l.start()
