--- a/review/stand-2/case_beside.go
+++ b/review/stand-2/case_beside.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"syscall"
 	"time"
@@ -14,15 +15,19 @@
 // slowTime is how long a worker is slow.
 const slowTime = 6500 * time.Millisecond
 
-// runBeside lets one of seven workers turn slow. It looks at its connection only when it writes.
+// runBeside lets one of seven engines turn slow. While it is, its memory runs out: it preempts requests in the middle of
+// their streams and reads their prompts again. It looks at a connection only when it writes.
 func runBeside(b *bed) (broken bool, err error) {
 	const service = "huvo11a"
 	b.putConfig(1, []route{{
-		"name": "r-1", "host": "ficu95.example", "prefix": "/lohu930/", "kind": "streaming", "timeout-ms": 5000, "goal-ms": 600, "priority": 0,
-		"service": service, "max-attempts": 2, "anonymous": false, "resumable": true, "gap-goal-ms": 250,
-	}}, []map[string]any{{"name": service, "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false}})
+		"name": "r-1", "host": "ficu95.example", "prefix": "/lohu930/", "kind": "streaming", "timeout-ms": 8000, "goal-ms": 800, "priority": 0,
+		"service": service, "max-attempts": 2, "anonymous": false, "sticky": true, "resumable": true, "gap-goal-ms": 300,
+	}}, []map[string]any{{
+		"name": service, "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 5, "kv-capacity": 611581, "kv-token-bytes": 18432, "stride": 4, "models": []any{map[string]any{"name": "m"}}},
+	}})
 	for range 7 {
-		if _, err := b.addWorker(service, "v1", 5, "-events", "13", "-first", "500ms", "-gap", "15ms"); err != nil {
+		if _, err := b.addWorker(service, "v1", 5, "-events", "13", "-first", "200ms", "-gap", "15ms", "-preemption", "700ms"); err != nil {
 			return false, err
 		}
 	}
@@ -33,8 +38,8 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	l := &load{bed: b, perSecond: 35, next: func(int) call {
-		return call{method: "POST", path: "/lohu930/2f", deadline: 5 * time.Second}
+	l := &load{bed: b, perSecond: 50, next: func(n int) call {
+		return call{method: "POST", path: "/lohu930/2f", deadline: 8 * time.Second, prefix: fmt.Sprintf("5c1e07a2:60,%08x:3660", 0xb0000+n), tokens: [2]int{3720, 52}}
 	}}
 	l.start()
 	time.Sleep(6 * time.Second)
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -29,7 +29,7 @@
 	flags.Float64Var(&w.slowdown, "slowdown", 0, "how much longer all takes with each further request that runs, as a share")
 	flags.BoolVar(&w.unframed, "unframed", false, "answer with neither a length nor chunks")
 	flags.Float64Var(&w.failShare, "fail-share", 0, "share of requests that fail, in turn")
-	flags.StringVar(&w.limit, "limit", "", "the Server-Limit that all answers name")
+	flags.DurationVar(&w.preemption, "preemption", 0, "how long requests are preempted after preemptAfter events while this worker is slow")
 	flags.StringVar(&w.crashPart, "crash-part", "", "part of a prompt that crashes this worker once it begins to write")
 	_ = flags.Parse(arguments)
 	socket, err := net.Listen("tcp", *address)
@@ -57,13 +57,17 @@
 // slowFactor is how much longer all takes on a worker that is slow, from one SIGUSR1 to the next.
 const slowFactor = 5
 
+// preemptAfter is the number of events after which a request is preempted.
+const preemptAfter = 3
+
 type workerOptions struct {
 	id                        string
 	slots, events, eventBytes int
 	gap, first                time.Duration
 	unframed                  bool
 	failShare, slowdown       float64
-	crashPart, limit          string
+	crashPart                 string
+	preemption                time.Duration
 	count                     atomic.Int64
 	running                   atomic.Int64
 	// factor is 1, or slowFactor.
@@ -99,9 +103,6 @@
 func (w *workerOptions) answer(conn net.Conn, req *http.Request) (goesOn bool) {
 	id := req.Header.Get("Attempt-Id")
 	mark := fmt.Sprintf("Attempt-Id: %s\r\nServer-Load: %d,0,%d\r\n", id, w.running.Load(), w.slots)
-	if w.limit != "" {
-		mark += "Server-Limit: " + w.limit + "\r\n"
-	}
 	if id == "" {
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -140,6 +141,10 @@
 		if i > 1 {
 			w.sleep(w.gap)
 		}
+		if i == preemptAfter+1 && w.preemption > 0 && w.factor.Load() > 1 {
+			w.say("preempts %s", id)
+			w.sleep(w.preemption)
+		}
 		text := fmt.Sprintf("id: %d\ndata: %d of %d ", i, i, w.events)
 		text += strings.Repeat("x", max(w.eventBytes-len(text)-2, 0)) + "\n\n"
 		if !w.unframed {
