--- a/review/stand-2/bed.go
+++ b/review/stand-2/bed.go
@@ -380,19 +380,6 @@
 	})
 }
 
-// logLines returns the lines of the daemons' logs that hold a text.
-func (b *bed) logLines(text string) (lines []string) {
-	for _, d := range b.daemons {
-		content, _ := os.ReadFile(d.log)
-		for line := range strings.SplitSeq(string(content), "\n") {
-			if strings.Contains(line, text) {
-				lines = append(lines, d.name+": "+line)
-			}
-		}
-	}
-	return lines
-}
-
 // run is a request that a worker ran.
 type run struct {
 	worker, version, attempt, path string
--- a/review/stand-2/case_forgotten.go
+++ b/review/stand-2/case_bursts.go
@@ -4,14 +4,10 @@
 	"fmt"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
-func init() {
-	cases["forgotten"] = runForgotten
-	cases["bursts"] = runBursts
-}
+func init() { cases["bursts"] = runBursts }
 
 const (
 	// stable is stable-ms of the settings.
@@ -76,45 +72,6 @@
 	return b.checkTainted()
 }
 
-// runForgotten lets such requests come one after the other. Once the daemons refuse them, all daemons are killed at the
-// same moment and started again.
-func runForgotten(b *bed) (broken bool, err error) {
-	const pairs, pairInterval = 4, 400 * time.Millisecond
-	stop, err := b.startTainted(crashPart)
-	if err != nil {
-		return false, err
-	}
-	defer stop()
-	for i := range pairs {
-		go b.sendTainted(fmt.Sprint("pair-", i+1), 2)
-		time.Sleep(pairInterval)
-	}
-	time.Sleep(stable + time.Second)
-	b.note("%d crashes so far", len(b.crashes()))
-	if b.trouble {
-		b.note("all daemons are killed")
-		for _, d := range b.daemons {
-			d.signal(syscall.SIGKILL)
-		}
-		for _, d := range b.daemons {
-			d.kill()
-		}
-		time.Sleep(time.Second)
-		for _, d := range b.daemons {
-			if err = d.start(); err != nil {
-				return false, err
-			}
-		}
-		b.note("all daemons are started again")
-		if err = b.awaitReady(); err != nil {
-			return false, err
-		}
-	}
-	time.Sleep(stable + time.Second)
-	b.sendTainted("later", taintedBurst)
-	return b.checkTainted()
-}
-
 // checkTainted checks BUDGET for requests with the part. Before the fifth crash it binds nothing.
 func (b *bed) checkTainted() (broken bool, err error) {
 	crashes := b.crashes()
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -29,8 +29,6 @@
 	log     []row
 	changed chan struct{}
 	started time.Time
-	// onPut is called after the system has written a row.
-	onPut func(row)
 }
 
 func newStore() *store {
@@ -50,14 +48,6 @@
 	s.wake()
 }
 
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ver++
-	s.apply(row{Table: table, Key: key, Ver: s.ver, Deleted: true})
-	s.wake()
-}
-
 func (s *store) apply(r row) {
 	id := [3]string{r.Table, r.Part, r.Key}
 	if r.Deleted {
@@ -178,12 +168,7 @@
 		s.apply(p)
 	}
 	s.wake()
-	ver, onPut := s.ver, s.onPut
+	ver := s.ver
 	s.mu.Unlock()
-	if onPut != nil {
-		for _, p := range call.Put {
-			onPut(p)
-		}
-	}
 	reply(w, http.StatusOK, map[string]any{"ver": ver, "now-ms": s.nowMS()})
 }
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -26,9 +27,7 @@
 	flags.IntVar(&w.eventBytes, "event-bytes", 50, "bytes of an event")
 	flags.DurationVar(&w.gap, "gap", 20*time.Millisecond, "time between two events, or of a request")
 	flags.DurationVar(&w.first, "first", 20*time.Millisecond, "time until the first event")
-	flags.Float64Var(&w.slowdown, "slowdown", 0, "how much longer all takes with each further request that runs, as a share")
 	flags.BoolVar(&w.unframed, "unframed", false, "answer with neither a length nor chunks")
-	flags.Float64Var(&w.failShare, "fail-share", 0, "share of requests that fail, in turn")
 	flags.DurationVar(&w.preemption, "preemption", 0, "how long requests are preempted after preemptAfter events while this worker is slow")
 	flags.StringVar(&w.crashPart, "crash-part", "", "part of a prompt that crashes this worker once it begins to write")
 	_ = flags.Parse(arguments)
@@ -65,10 +64,8 @@
 	slots, events, eventBytes int
 	gap, first                time.Duration
 	unframed                  bool
-	failShare, slowdown       float64
 	crashPart                 string
 	preemption                time.Duration
-	count                     atomic.Int64
 	running                   atomic.Int64
 	// factor is 1, or slowFactor.
 	factor atomic.Int64
@@ -94,9 +91,9 @@
 	}
 }
 
-// sleep sleeps for a time that grows with the number of running requests.
-func (w *workerOptions) sleep(alone time.Duration) {
-	time.Sleep(time.Duration(float64(alone*time.Duration(w.factor.Load())) * (1 + w.slowdown*float64(w.running.Load()-1))))
+// sleep sleeps for the time that something takes on a quick worker, or longer on a slow one.
+func (w *workerOptions) sleep(quick time.Duration) {
+	time.Sleep(quick * time.Duration(w.factor.Load()))
 }
 
 // answer runs a request and reports whether the connection can carry another one.
@@ -123,13 +120,6 @@
 		w.say("crashes on %s", id)
 		os.Exit(exitBroken)
 	}
-	n := w.count.Add(1)
-	if int64(float64(n)*w.failShare) > int64(float64(n-1)*w.failShare) {
-		w.sleep(w.first)
-		w.say("fails %s", id)
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 500 Internal Server Error\r\n%sResponse-Seal: %s.%s\r\nContent-Length: 5\r\n\r\nerror", mark, w.id, id)
-		return err == nil
-	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sResponse-Seal: %s.%s\r\nContent-Type: text/event-stream\r\n", mark, w.id, id)
 	if w.unframed {
 		head += "Connection: close\r\n\r\n"
@@ -137,8 +127,9 @@
 		head += "Transfer-Encoding: chunked\r\n\r\n"
 	}
 	w.sleep(w.first)
-	for i := 1; i <= w.events; i++ {
-		if i > 1 {
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= w.events; i++ {
+		if i > last+1 {
 			w.sleep(w.gap)
 		}
 		if i == preemptAfter+1 && w.preemption > 0 && w.factor.Load() > 1 {
