--- a/review/stand-2/case_truncated.go
+++ b/review/stand-2/case_truncated.go
@@ -95,7 +95,7 @@
 		})
 	}
 	const freezeLead = 500 * time.Millisecond
-	if l.frozen != nil {
+	if l.frozen != nil && b.trouble {
 		time.Sleep(l.crashAfter - freezeLead)
 		b.note("%s stands still", l.frozen.name)
 		l.frozen.signal(syscall.SIGSTOP)
