Count the upstreams that a burst crashes, not its moment

Cause: crashes less than 100 ms apart count as one, and three are needed. The gap protects sound requests when a rack crashes, but the number of moments was the only evidence that told a rack from a burst.

Evidence: the line of the block, at the third burst, names all six upstreams of the first one at each daemon, so that they were seen and told.

Change: the crashes of four upstreams block a part at any time, three a whole request, unless a request with it was completed since 5 s before. While all crashes were at once the block is provisional: in turns one daemon tries one request; a completed one clears the part everywhere, a crash confirms it.

--- a/daemon/attributor/attributor.go
+++ b/daemon/attributor/attributor.go
@@ -7,6 +7,7 @@
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
+	"yuccaspread/common/logger"
 )
 
 // Attributor runs a Core for all requests of this daemon. It is safe for concurrent use.
@@ -14,20 +15,31 @@
 type Attributor struct {
 	Clock  clock.Clock
 	Source inventory.Source
+	// Started is when this daemon started.
+	Started clock.Millis
 	// Spread sends reports to other daemons without blocking; nil if there are none.
 	Spread func([]Report)
+	// HasTurn reports whether this daemon makes a trial; nil if it is the only one.
+	HasTurn HasTurn
 
 	mu   sync.Mutex
 	core Core
 }
 
-// BlockedFor returns for how long requests with any of the keys are refused, 0 if they are
-// not.
-func (a *Attributor) BlockedFor(keys []uint64) clock.Millis {
+// BlockedFor returns for how long a request with the keys is refused, 0 if it is not.
+func (a *Attributor) BlockedFor(request string, keys []uint64) clock.Millis {
+	hasTurn := a.HasTurn
+	if hasTurn == nil {
+		hasTurn = func(uint64, int64) bool { return true }
+	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	now := a.Clock.Now()
-	return max(a.core.BlockedUntil(now, keys)-now, 0)
+	verdict := a.core.Admit(now, request, keys, hasTurn)
+	a.mu.Unlock()
+	if verdict.IsTrial {
+		klog.InfoS("trying a request with keys that are suspected of crashing upstreams", logger.KeyRequest, request, "keys", keys)
+	}
+	return max(verdict.Until-now, 0)
 }
 
 // UpstreamCrashed reports that an upstream crashed while a request with the keys was
@@ -52,6 +64,7 @@
 
 func (a *Attributor) step(message Message) {
 	a.mu.Lock()
+	a.core.Started = a.Started
 	a.core.Retention = a.Source.Current().Limits.WithDefaults().QuarantineMS
 	now := a.Clock.Now()
 	effects := a.core.Step(now, message)
@@ -64,7 +77,7 @@
 			}
 		case Blocked:
 			klog.InfoS("requests with these keys crash upstreams; refusing them", "keys", e.Block.Keys,
-				"for_ms", e.Block.Until-now, "upstreams", e.Block.Upstreams)
+				"for_ms", e.Block.Until-now, "provisional", e.Block.Provisional, "upstreams", e.Block.Upstreams)
 		case Unblocked:
 			klog.InfoS("requests with these keys don't explain crashes of upstreams; accepting them", "keys", e.Block.Keys)
 		}
--- a/daemon/attributor/block.go
+++ b/daemon/attributor/block.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"yuccaspread/common/clock"
 )
 
@@ -14,10 +17,25 @@
 	// Keys are sorted.
 	Keys  []uint64
 	Until clock.Millis
+	// LastCrash is the start of the last crash, or group of simultaneous crashes, that the keys
+	// explain.
+	LastCrash clock.Millis
+	// Provisional is set while the keys explain simultaneous crashes only. Upstreams that went
+	// down together for another reason look the same, so that single requests are tried.
+	Provisional bool
 	// Upstreams are those whose crashes the keys explain, sorted by name.
 	Upstreams []string
 }
 
+// id returns a hash that is equal for the same block at all daemons.
+func (b *Block) id() uint64 {
+	var buffer []byte
+	for _, key := range b.Keys {
+		buffer = binary.LittleEndian.AppendUint64(buffer, key)
+	}
+	return xxhash.Sum64(buffer)
+}
+
 func (b *Block) matches(keys []uint64) bool {
 	for _, key := range b.Keys {
 		if !slices.Contains(keys, key) {
@@ -68,6 +86,20 @@
 	upstreams   []string
 }
 
+// suffices reports whether the crashes block a key.
+func (c *Core) suffices(s suspicion, isRequest bool) bool {
+	atOnce := blockingUpstreams
+	if isRequest {
+		atOnce = blockingCrashes
+	}
+	return s.crashes >= blockingCrashes || len(s.upstreams) >= atOnce && s.first >= c.Started+provenWindow
+}
+
+// isProvisional reports whether the crashes may have been one event.
+func (s *suspicion) isProvisional() bool {
+	return s.crashes < blockingCrashes && s.last-s.first < trialDelay
+}
+
 // attribute returns the blocks that follow from the reports: the parts that explain most
 // crashes first, then the single requests that explain the others.
 func (c *Core) attribute() (blocks []Block) {
@@ -117,7 +149,7 @@
 	for _, key := range keys {
 		s := c.suspect(key, explained)
 		switch {
-		case s.crashes < blockingCrashes:
+		case !c.suffices(s, c.reports[key][0].isOfRequest()):
 		case len(s.upstreams) > len(most.upstreams):
 			most = s
 			block.Keys = []uint64{key}
@@ -128,8 +160,8 @@
 	if most.crashes == 0 {
 		return block, false
 	}
-	block.Upstreams = most.upstreams
-	block.Until = most.last + c.Retention<<min(most.crashes-blockingCrashes, maxDoublings)
+	block.Upstreams, block.LastCrash, block.Provisional = most.upstreams, most.last, most.isProvisional()
+	block.Until = most.last + c.Retention<<min(max(most.crashes-blockingCrashes, 0), maxDoublings)
 	return block, true
 }
 
--- a/daemon/attributor/core.go
+++ b/daemon/attributor/core.go
@@ -18,6 +18,9 @@
 const (
 	// blockingCrashes is the number of crashes, at different times, that block a key.
 	blockingCrashes = 3
+	// blockingUpstreams is the number of upstreams whose crashes block a part even if all
+	// were at the same time. The platform counts five; one may not have been seen.
+	blockingUpstreams = 4
 	// blockingRequests is the number of different requests among them that block a part:
 	// one request alone is blocked by its own key.
 	blockingRequests = 2
@@ -26,7 +29,7 @@
 	// reasons, some key has been there by chance.
 	minExplainedShare = 1.0 / 3
 	// minCrashGap separates crashes that count apart: upstreams that go down together
-	// have a fault of their own in common.
+	// may have a fault of their own in common.
 	minCrashGap = 100 * clock.Millisecond
 	// provenWindow is how long before a crash a request with the key may have been
 	// completed for the key not to be suspected.
@@ -106,6 +109,8 @@
 	// Retention is how long a key is blocked after its last crash, or suspected. It
 	// doubles with each crash after the one that blocked the key; above 0.
 	Retention clock.Millis
+	// Started is when this daemon started. It can't tell which keys were proven before.
+	Started clock.Millis
 
 	// reports holds the reports of each key, sorted by time.
 	reports map[uint64][]Report
@@ -119,6 +124,8 @@
 	windowStart, sweptAt clock.Millis
 	// blocks follow from reports.
 	blocks []Block
+	// trials holds the last trial of each provisional block, by its id.
+	trials map[uint64]trial
 }
 
 type crash struct {
@@ -159,16 +166,6 @@
 	return effects
 }
 
-// BlockedUntil returns until when a request with the keys is refused, 0 if it is not.
-func (c *Core) BlockedUntil(now clock.Millis, keys []uint64) (until clock.Millis) {
-	for _, b := range c.blocks {
-		if b.Until > now && b.matches(keys) {
-			until = max(until, b.Until)
-		}
-	}
-	return until
-}
-
 // Reports returns the reports of the blocked keys and of the named ones, and a digest of the
 // former. Reports that block nothing travel once, when they are new.
 func (c *Core) Reports(keys ...uint64) (reports []Report, digest uint64) {
@@ -302,6 +299,7 @@
 	if now-c.windowStart > provenWindow {
 		c.completedBefore, c.completed, c.windowStart = c.completed, nil, now
 	}
+	c.sweepTrials()
 	for key, list := range c.reports {
 		// A key that was blocked is remembered longer: its next crash blocks it again.
 		if now > max(list[len(list)-1].At, c.blockEnd(key))+c.Retention {
--- a/daemon/attributor/core_test.go
+++ b/daemon/attributor/core_test.go
@@ -16,6 +16,12 @@
 	c.Step(now, Crashed{Upstream: upstream, Request: request, Keys: append(keys, request)})
 }
 
+// blockedUntil returns until when a request with the keys is refused at a daemon that makes no
+// trials.
+func blockedUntil(c *Core, now clock.Millis, keys []uint64) clock.Millis {
+	return c.Admit(now, "", keys, func(uint64, int64) bool { return false }).Until
+}
+
 // TestWhichKeysAreBlocked checks to which keys crashes are attributed.
 func TestWhichKeysAreBlocked(t *testing.T) {
 	const bad, companion, other = 1, 2, 3
@@ -129,12 +135,12 @@
 		core := &Core{Retention: testRetention}
 		c.history(core)
 		for _, keys := range c.blocked {
-			if core.BlockedUntil(5000, keys) == 0 {
+			if blockedUntil(core, 5000, keys) == 0 {
 				t.Errorf("%s: %v is not blocked", name, keys)
 			}
 		}
 		for _, keys := range c.allowed {
-			if core.BlockedUntil(5000, keys) != 0 {
+			if blockedUntil(core, 5000, keys) != 0 {
 				t.Errorf("%s: %v is blocked", name, keys)
 			}
 		}
@@ -148,15 +154,15 @@
 	for i := range clock.Millis(3) {
 		crashDuring(core, 1000*(i+1), fmt.Sprint(i), uint64(90+i), 1)
 	}
-	end := core.BlockedUntil(4000, []uint64{1})
+	end := blockedUntil(core, 4000, []uint64{1})
 	if end != 3000+testRetention {
 		t.Fatalf("blocked until %d", end)
 	}
-	if core.BlockedUntil(end, []uint64{1}) != 0 {
+	if blockedUntil(core, end, []uint64{1}) != 0 {
 		t.Error("still blocked at the end of the block")
 	}
 	crashDuring(core, end+1000, "later", 99, 1)
-	if again := core.BlockedUntil(end+1000, []uint64{1}); again != end+1000+2*testRetention {
+	if again := blockedUntil(core, end+1000, []uint64{1}); again != end+1000+2*testRetention {
 		t.Errorf("after the next crash blocked until %d", again)
 	}
 }
@@ -173,8 +179,8 @@
 			t.Errorf("%d reports of a key", len(list))
 		}
 	}
-	if len(core.reports) > maxKeys || len(core.crashes) > maxCrashes || len(reports) != len(core.reports[7]) || core.BlockedUntil(50_000, []uint64{7}) == 0 {
-		t.Errorf("%d keys, %d reports, key 7 blocked until %d", len(core.reports), len(reports), core.BlockedUntil(50_000, []uint64{7}))
+	if len(core.reports) > maxKeys || len(core.crashes) > maxCrashes || len(reports) != len(core.reports[7]) || blockedUntil(core, 50_000, []uint64{7}) == 0 {
+		t.Errorf("%d keys, %d reports, key 7 blocked until %d", len(core.reports), len(reports), blockedUntil(core, 50_000, []uint64{7}))
 	}
 }
 
@@ -214,7 +220,7 @@
 		other.Step(5000, Received{Reports: reports})
 		reply, otherDigest := other.Reports(1)
 		one.Step(5000, Received{Reports: reply})
-		if _, digest = one.Reports(); digest != otherDigest || one.BlockedUntil(5000, []uint64{1}) != other.BlockedUntil(5000, []uint64{1}) {
+		if _, digest = one.Reports(); digest != otherDigest || blockedUntil(one, 5000, []uint64{1}) != blockedUntil(other, 5000, []uint64{1}) {
 			t.Errorf("%s: the daemons differ after a comparison", name)
 		}
 	}
@@ -301,8 +307,8 @@
 }
 
 func (f *fleet) send(r run) {
-	isBad := slices.Contains(r.parts, badPart)
-	if f.cores[r.daemon].BlockedUntil(f.now, append(slices.Clone(r.parts), r.id)) > 0 {
+	isBad := isBad(r)
+	if f.cores[r.daemon].Admit(f.now, fmt.Sprint(r.id), append(slices.Clone(r.parts), r.id), f.hasTurn(r.daemon)).Until > 0 {
 		if !isBad {
 			f.refused++
 		}
@@ -371,7 +377,7 @@
 		r := w.running[i]
 		switch {
 		case r.endAt > f.now:
-		case slices.Contains(r.parts, badPart):
+		case isBad(r):
 			f.crashes = append(f.crashes, f.now)
 			f.crashWorker(w)
 			return
@@ -384,6 +390,15 @@
 	}
 }
 
+func isBad(r run) bool { return slices.Contains(r.parts, badPart) }
+
+// hasTurn gives each turn of a block to one daemon.
+func (f *fleet) hasTurn(daemon int) HasTurn {
+	return func(block uint64, turn int64) bool {
+		return (block+uint64(turn))%uint64(len(f.cores)) == uint64(daemon)
+	}
+}
+
 func btoi(b bool) int {
 	if b {
 		return 1
--- a/daemon/attributor/spreader.go
+++ b/daemon/attributor/spreader.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
@@ -12,6 +13,7 @@
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/gossiper"
+	"yuccaspread/daemon/sharder"
 )
 
 // Timing and extent of the exchange of reports.
@@ -80,6 +82,18 @@
 	return wire.NewDRPCCrashesClient(conn).Exchange(ctx, in)
 }
 
+// HasTurn chooses one of the daemons that are alive for each turn of a block.
+func (s *Spreader) HasTurn(block uint64, turn int64) bool {
+	self := s.View.Self().Name
+	names := []string{self}
+	for _, m := range s.View.Members() {
+		if m.State == gossiper.Alive && m.Name != self {
+			names = append(names, m.Name)
+		}
+	}
+	return sharder.HighestRanked(names, strconv.FormatUint(block, 16)+"/"+strconv.FormatInt(turn, 10)) == self
+}
+
 // randomPeers returns at most count distinct random daemons.
 func (s *Spreader) randomPeers(count int) (chosen []gossiper.Member) {
 	self, members := s.View.Self(), s.View.Members()
--- a/daemon/forwarder/attribute.go
+++ b/daemon/forwarder/attribute.go
@@ -12,9 +12,9 @@
 
 // Attributor remembers which requests crash upstreams, by keys that they have in common.
 type Attributor interface {
-	// BlockedFor returns for how long requests with any of the keys are refused, 0 if
-	// they are not.
-	BlockedFor(keys []uint64) clock.Millis
+	// BlockedFor returns for how long a request with the keys is refused, 0 if it is not.
+	// It is asked again before each send.
+	BlockedFor(request string, keys []uint64) clock.Millis
 	// UpstreamCrashed reports that an upstream crashed while a request with the keys was
 	// running.
 	UpstreamCrashed(upstream string, request uint64, keys []uint64)
@@ -36,7 +36,7 @@
 	if r.Attributor == nil {
 		return nil
 	}
-	blocked := r.Attributor.BlockedFor(r.crashKeys())
+	blocked := r.Attributor.BlockedFor(r.req.ID, r.crashKeys())
 	if blocked == 0 {
 		return nil
 	}
--- a/daemon/forwarder/attribute_test.go
+++ b/daemon/forwarder/attribute_test.go
@@ -23,7 +23,7 @@
 	completed int
 }
 
-func (a *recordedAttributor) BlockedFor(keys []uint64) clock.Millis {
+func (a *recordedAttributor) BlockedFor(_ string, keys []uint64) clock.Millis {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slices.Contains(keys, a.blocked) {
