Hold any number of tiers in their order, whatever their numbers

Seen by callers: with more than 31 tiers (seven priorities of tenants and five of routes), or numbers beyond 30, requests of different tiers are served as one, though the order of tiers is promised to be strict.

Cause: the queue held an array of 64 lanes, two for each tier, indexed by the number of the tier; what lay beyond went into the last one. Per-lane pace and the times at which tiers were shed were arrays by that number too.

Change: the queue holds the tiers with entries, sorted by rank. What needs neighbours, the lane of late asks, asks inventory.TierOrder for the next tier in use; what needs small numbers, the mean tier of a kind, asks it for the position. A scheduler that sheds nothing says AllTiers instead of the last tier that it knows, which may not be the last one of a daemon with a newer revision.

Test changed: TestLowestTierIsRepeatedWhileShedding expects AllTiers after shedding, where it expected the last tier of its rules; as strict.

--- a/daemon/queuer/queuer.go
+++ b/daemon/queuer/queuer.go
@@ -4,15 +4,17 @@
 // operation takes logarithmic time in the number of waiting requests.
 package queuer
 
-import "yuccaspread/common/clock"
+import (
+	"cmp"
+	"slices"
 
-// MaxTiers bounds the number of tiers; entries of higher ranks go to the last tier.
-const MaxTiers = 64
+	"yuccaspread/common/clock"
+)
 
 // Entry is one waiting request. The exported fields do not change while the
 // entry is in a queue.
 type Entry[T any] struct {
-	// Tier is the rank of the tier, 0 for the most important one.
+	// Tier is the rank of the tier; lower ones are more important. Ranks need not be dense.
 	Tier         int
 	Organisation string
 	// Deadline is when the whole answer is due.
@@ -28,6 +30,8 @@
 
 	// sequence is the order of arrival.
 	sequence uint64
+	// tier holds the entry while it is in a queue.
+	tier *tier[T]
 	// kindIndex and memberIndex are the indexes in the heaps of byKind and
 	// byOrganisation, -1 outside.
 	kindIndex, memberIndex int
@@ -47,6 +51,7 @@
 
 // tier holds the entries of one tier.
 type tier[T any] struct {
+	rank int
 	// virtualTime is the greatest virtual start of the entries served since the tier
 	// was last empty.
 	virtualTime float64
@@ -61,6 +66,9 @@
 	byLatestStart heap[*Entry[T]]
 }
 
+// maxUnusedTiers bounds the empty tiers that are kept for reuse.
+const maxUnusedTiers = 16
+
 // Queue holds waiting requests. The zero value is empty and unbounded. It is
 // not safe for concurrent use.
 type Queue[T any] struct {
@@ -69,10 +77,11 @@
 	// Weights are the weights of organisations; no entry means 1.
 	Weights map[string]int
 
-	tiers        []*tier[T]
-	length       int
-	nextSequence uint64
-	skipped      []*Entry[T]
+	// tiers holds the tiers with entries, sorted by rank; unused keeps empty ones for reuse.
+	tiers, unused []*tier[T]
+	length        int
+	nextSequence  uint64
+	skipped       []*Entry[T]
 	// byKind and byOrganisation hold all entries of a kind or organisation, those with
 	// the earliest latest start at the top.
 	byKind, byOrganisation map[string]*heap[*Entry[T]]
@@ -83,26 +92,52 @@
 
 // Waiting returns the number of entries of a tier, skipped ones included.
 func (q *Queue[T]) Waiting(rank int) int {
-	if rank < 0 || rank >= len(q.tiers) {
+	index, found := q.search(rank)
+	if !found {
 		return 0
 	}
-	return len(q.tiers[rank].byDeadline.items)
+	return len(q.tiers[index].byDeadline.items)
+}
+
+// WaitingUpTo returns the number of entries of a tier and of all more important ones.
+func (q *Queue[T]) WaitingUpTo(rank int) (count int) {
+	for _, t := range q.tiers {
+		if t.rank > rank {
+			break
+		}
+		count += len(t.byDeadline.items)
+	}
+	return count
+}
+
+func (q *Queue[T]) search(rank int) (index int, found bool) {
+	return slices.BinarySearchFunc(q.tiers, rank, func(t *tier[T], rank int) int { return cmp.Compare(t.rank, rank) })
 }
 
-// TierCount returns one more than the highest rank that was ever pushed.
-func (q *Queue[T]) TierCount() int { return len(q.tiers) }
+// tierOf returns the tier of a rank, which it adds if need be.
+func (q *Queue[T]) tierOf(rank int) (t *tier[T]) {
+	index, found := q.search(rank)
+	if found {
+		return q.tiers[index]
+	}
+	if last := len(q.unused) - 1; last >= 0 {
+		t, q.unused = q.unused[last], q.unused[:last]
+	} else {
+		t = newTier[T]()
+	}
+	t.rank = rank
+	q.tiers = slices.Insert(q.tiers, index, t)
+	return t
+}
 
 // Push adds e. If the queue exceeds its capacity, Push removes and returns the
 // entry with the latest deadline in the lowest tier, which may be e.
 func (q *Queue[T]) Push(e *Entry[T]) (evicted *Entry[T]) {
-	e.Tier = min(max(e.Tier, 0), MaxTiers-1)
 	e.sequence = q.nextSequence
 	q.nextSequence++
 	e.organisationIndex, e.deadlineIndex, e.startIndex = -1, -1, -1
-	for len(q.tiers) <= e.Tier {
-		q.tiers = append(q.tiers, newTier[T]())
-	}
-	t := q.tiers[e.Tier]
+	t := q.tierOf(e.Tier)
+	e.tier = t
 	t.byDeadline.push(e)
 	t.byLatestStart.push(e)
 	q.addToGroups(e)
@@ -131,7 +166,7 @@
 
 // Skip hides an entry from Head until RestoreSkipped is called.
 func (q *Queue[T]) Skip(e *Entry[T]) {
-	q.deactivate(q.tiers[e.Tier], e)
+	q.deactivate(e.tier, e)
 	e.skipped = true
 	q.skipped = append(q.skipped, e)
 }
@@ -140,7 +175,7 @@
 func (q *Queue[T]) RestoreSkipped() {
 	for _, e := range q.skipped {
 		if e.skipped {
-			q.activate(q.tiers[e.Tier], e)
+			q.activate(e.tier, e)
 		}
 	}
 	clear(q.skipped)
@@ -149,7 +184,7 @@
 
 // Serve removes an entry that is served and charges its cost to its organisation.
 func (q *Queue[T]) Serve(e *Entry[T]) {
-	t := q.tiers[e.Tier]
+	t := e.tier
 	o := t.organisations[e.Organisation]
 	t.virtualTime = max(t.virtualTime, o.virtualStart)
 	o.virtualStart += e.Cost / float64(max(q.Weights[e.Organisation], 1))
@@ -165,7 +200,7 @@
 	if e.deadlineIndex < 0 {
 		return
 	}
-	t := q.tiers[e.Tier]
+	t := e.tier
 	q.deactivate(t, e)
 	e.skipped = false
 	t.byDeadline.remove(e)
@@ -175,6 +210,11 @@
 	if len(t.byDeadline.items) == 0 {
 		t.virtualTime = 0
 		clear(t.organisations)
+		index, _ := q.search(t.rank)
+		q.tiers = slices.Delete(q.tiers, index, index+1)
+		if len(q.unused) < maxUnusedTiers {
+			q.unused = append(q.unused, t)
+		}
 	}
 }
 
--- a/daemon/scheduler/asks.go
+++ b/daemon/scheduler/asks.go
@@ -30,7 +30,7 @@
 		return
 	}
 	a.entry = queuer.Entry[*ask]{Organisation: m.Organisation, Kind: m.Route, Cost: max(eval.minTotalMS, 1), Value: a}
-	a.assignLane(s.now, eval.minTotalMS, eval.minFirstTokenMS)
+	s.assignLane(a, eval.minTotalMS, eval.minFirstTokenMS)
 	s.addAsk(a)
 	if l := s.linksOf(m.ID.Daemon); l != nil && l.cutOff {
 		s.hold(l, a)
@@ -56,7 +56,7 @@
 
 // newAsk returns an ask that arrives now, with its output length estimated.
 func (s *State) newAsk(m Ask) *ask {
-	m.Tier = min(max(m.Tier, 0), maxTier)
+	m.Tier = min(max(m.Tier, 0), inventory.MaxTier)
 	a := &ask{Ask: m, arrivedAt: s.now}
 	a.expectedOutput = s.predictOutput(m, quantileOrDefault(s.OutputQuantile, defaultOutputQuantile))
 	a.conservativeOutput = max(s.predictOutput(m, quantileOrDefault(s.ConservativeQuantile, defaultConservativeQuantile)), a.expectedOutput)
--- a/daemon/scheduler/explain.go
+++ b/daemon/scheduler/explain.go
@@ -14,7 +14,7 @@
 	a := s.newAsk(m)
 	eval := s.evaluate(a)
 	e.ExpectedOutput = s.outputEstimate(a)
-	a.assignLane(s.now, finite(eval.minTotalMS), finite(eval.minFirstTokenMS))
+	s.assignLane(a, finite(eval.minTotalMS), finite(eval.minFirstTokenMS))
 	e.Waiting = s.queue.Waiting(a.entry.Tier)
 	e.WaitMS = s.pace.expectedWaitMS(s.now, a.entry.Tier, e.Waiting)
 	e.RetryAfter = s.pace.drainTime(s.queue.Len())
--- a/daemon/scheduler/faults_test.go
+++ b/daemon/scheduler/faults_test.go
@@ -322,7 +322,7 @@
 	// Asks that still wait are shed first.
 	h.advance(10 * clock.Second)
 	h.advance(10 * clock.Second)
-	if h.lowest != 2 {
+	if h.lowest != scheduler.AllTiers {
 		t.Fatalf("the lowest tier is still %d after shedding ended", h.lowest)
 	}
 }
--- a/daemon/scheduler/lanes.go
+++ b/daemon/scheduler/lanes.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"yuccaspread/common/clock"
-	"yuccaspread/daemon/queuer"
-)
+import "yuccaspread/common/clock"
 
 // The queue is divided into priority lanes, the most important first. An ask
 // whose objective can still be met waits in the lane of its tier. One that will
@@ -11,12 +8,6 @@
 // meet an objective, and ahead of all tiers after that one.
 const (
 	lanesPerTier = 2
-	// lateLaneOffset is the number of lanes that a late ask is demoted by: behind
-	// the next tier, before the one after that.
-	lateLaneOffset = 3
-	// maxTier is the last tier with lanes of its own; asks of higher ranks count as
-	// of this one. The late lane of the tier is the last one of the queue.
-	maxTier = (queuer.MaxTiers - 1 - lateLaneOffset) / lanesPerTier
 	// refusalTransit is the time that a refusal takes to reach its caller: a tick
 	// of the granter, 50 ms, and the network hops between the daemons. Only a
 	// caller that still waits learns when to retry.
@@ -29,22 +20,20 @@
 // inTierLane reports whether an ask is in the lane of its tier, not demoted.
 func (a *ask) inTierLane() bool { return a.entry.Tier == tierLane(a.Tier) }
 
+// lateLane returns the lane of a tier's late asks: behind the next tier in use, before the one
+// after that.
+func (s *State) lateLane(tier int) int { return tierLane(s.order.Next(tier)) + 1 }
+
 // waitingInTier returns the number of waiting asks of a tier, demoted ones
 // included.
 func (s *State) waitingInTier(tier int) int {
-	return s.queue.Waiting(tierLane(tier)) + s.queue.Waiting(tierLane(tier)+lateLaneOffset)
-}
-
-// seenTiers returns one more than the highest tier that ever waited, where a
-// demoted ask counts as one of the next tier.
-func (s *State) seenTiers() int {
-	return (s.queue.TierCount() + lanesPerTier - 1) / lanesPerTier
+	return s.queue.Waiting(tierLane(tier)) + s.queue.Waiting(s.lateLane(tier))
 }
 
 // assignLane sets the lane and the latest start of an ask. minTotalMS is the
 // least time to the end of its answer, minFirstTokenMS the least time to its
 // first token.
-func (a *ask) assignLane(now clock.Millis, minTotalMS, minFirstTokenMS float64) {
+func (s *State) assignLane(a *ask, minTotalMS, minFirstTokenMS float64) {
 	a.latestStart = a.Deadline - clock.Millis(minTotalMS)
 	if a.Patience > 0 {
 		a.latestStart = min(a.latestStart, a.Patience-max(clock.Millis(minFirstTokenMS), refusalTransit))
@@ -54,8 +43,8 @@
 		return
 	}
 	objectiveStart := a.Objective - clock.Millis(minFirstTokenMS)
-	if objectiveStart < now {
-		a.entry.Tier += lateLaneOffset
+	if objectiveStart < s.now {
+		a.entry.Tier = s.lateLane(a.Tier)
 		return
 	}
 	a.entry.Deadline, a.entry.LatestStart = a.Objective, min(objectiveStart, a.latestStart)
@@ -81,10 +70,7 @@
 	if a.Objective <= 0 {
 		return false
 	}
-	ahead := 0
-	for lane := range tierLane(a.Tier) + 1 {
-		ahead += s.queue.Waiting(lane)
-	}
+	ahead := s.queue.WaitingUpTo(tierLane(a.Tier))
 	return float64(ahead+1)*s.pace.meanGapMS+minFirstTokenMS > float64(a.Objective-s.now)
 }
 
@@ -111,7 +97,7 @@
 		return false
 	}
 	s.queue.Remove(&a.entry)
-	a.entry.Tier += lateLaneOffset
+	a.entry.Tier = s.lateLane(a.Tier)
 	a.entry.Deadline, a.entry.LatestStart = a.Deadline, a.latestStart
 	return s.enqueue(a)
 }
--- a/daemon/scheduler/messages.go
+++ b/daemon/scheduler/messages.go
@@ -21,11 +21,12 @@
 
 // Ask requests a slot for one request.
 type Ask struct {
-	ID           AskID        `json:"id"`
-	Organisation string       `json:"organisation"`
-	Route        string       `json:"route"`
-	Tier         int          `json:"tier"`
-	Deadline     clock.Millis `json:"deadline_ms"`
+	ID           AskID  `json:"id"`
+	Organisation string `json:"organisation"`
+	Route        string `json:"route"`
+	// Tier is the number of the tier, see inventory.TierOrder.
+	Tier     int          `json:"tier"`
+	Deadline clock.Millis `json:"deadline_ms"`
 	// Objective is when the first part of the answer is due, 0 for no objective.
 	Objective clock.Millis `json:"objective_ms,omitempty"`
 	// Patience is when the caller leaves if no part of the answer has arrived, 0 for
@@ -107,9 +108,11 @@
 
 // Rules replaces the rules in force.
 type Rules struct {
-	Tiers   []inventory.Tier `json:"tiers"`
-	Weights map[string]int   `json:"weights"`
-	Limits  inventory.Limits `json:"limits"`
+	Tiers []inventory.Tier `json:"tiers"`
+	// TierOffsets are those of organisations, without repeats.
+	TierOffsets []int            `json:"tier_offsets,omitempty"`
+	Weights     map[string]int   `json:"weights"`
+	Limits      inventory.Limits `json:"limits"`
 	// Cold holds, by pool, what its upstreams take while they are cold.
 	Cold map[string]inventory.ColdLimit `json:"cold,omitempty"`
 	// Memory holds, by pool, the memory of each of its upstreams in tokens.
@@ -267,6 +270,7 @@
 // LowestTier reports the lowest tier that this scheduler admits, on change and
 // repeatedly while it admits fewer than all.
 type LowestTier struct {
+	// Lowest is AllTiers if no tier is shed.
 	Lowest int `json:"lowest"`
 }
 
--- a/daemon/scheduler/minimum.go
+++ b/daemon/scheduler/minimum.go
@@ -20,7 +20,7 @@
 // it takes at least.
 func (s *State) recordOffer(a *ask, minTotalMS float64) {
 	if s.guarantor.Floor > 0 && a.isFirstAttempt() {
-		s.guarantor.Offer(s.now, a.groups(), a.Tier, minTotalMS)
+		s.guarantor.Offer(s.now, a.groups(), s.order.Position(a.Tier), minTotalMS)
 	}
 }
 
--- a/daemon/scheduler/pace.go
+++ b/daemon/scheduler/pace.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "yuccaspread/common/clock"
+import (
+	"maps"
+
+	"yuccaspread/common/clock"
+)
 
 const (
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller
@@ -18,7 +22,7 @@
 	lastGrantAt clock.Millis
 	// meanGapMS is the moving mean of the time between grants.
 	meanGapMS float64
-	lanes     []lanePace
+	lanes     map[int]*lanePace
 }
 
 // lanePace measures the interval between grants to one lane.
@@ -46,10 +50,20 @@
 
 // lane returns the pace of a lane, which it adds if need be.
 func (p *pace) lane(lane int) *lanePace {
-	for len(p.lanes) <= lane {
-		p.lanes = append(p.lanes, lanePace{})
+	l := p.lanes[lane]
+	if l == nil {
+		if p.lanes == nil {
+			p.lanes = map[int]*lanePace{}
+		}
+		l = &lanePace{}
+		p.lanes[lane] = l
 	}
-	return &p.lanes[lane]
+	return l
+}
+
+// retain drops the lanes that are not needed any more.
+func (p *pace) retain(isNeeded func(lane int) bool) {
+	maps.DeleteFunc(p.lanes, func(lane int, _ *lanePace) bool { return !isNeeded(lane) })
 }
 
 // drainTime returns the expected time until the waiting requests are served,
--- a/daemon/scheduler/region.go
+++ b/daemon/scheduler/region.go
@@ -27,7 +27,7 @@
 type region struct {
 	reports map[string]regionReport
 	// shedAt is when an ask of each tier was last shed here.
-	shedAt          []clock.Millis
+	shedAt          map[int]clock.Millis
 	announcedLowest int
 	announcedAt     clock.Millis
 }
@@ -58,33 +58,37 @@
 	if a.Objective > 0 {
 		return
 	}
-	tier := a.Tier
-	for len(s.region.shedAt) <= tier {
-		s.region.shedAt = append(s.region.shedAt, math.MinInt64/2)
+	if s.region.shedAt == nil {
+		s.region.shedAt = map[int]clock.Millis{}
 	}
-	s.region.shedAt[tier] = s.now
+	s.region.shedAt[a.Tier] = s.now
 }
 
+// AllTiers is the lowest admitted tier of a scheduler that sheds none.
+const AllTiers = math.MaxInt
+
 // lowestAdmitted returns the lowest tier that is admitted: the most important of
-// the tiers with recently shed asks, or else the last tier.
+// the tiers with recently shed asks, or else AllTiers.
 func (s *State) lowestAdmitted() int {
+	lowest := AllTiers
 	for tier, at := range s.region.shedAt {
 		if s.now-at < shedHold {
-			return tier
+			lowest = min(lowest, tier)
+		} else {
+			delete(s.region.shedAt, tier)
 		}
 	}
-	return max(len(s.tiers), s.seenTiers(), 1) - 1
+	return lowest
 }
 
 // announceLowest emits the lowest admitted tier when it changes, and repeats it
 // while a tier is shed.
 func (s *State) announceLowest() {
 	lowest := s.lowestAdmitted()
-	last := max(len(s.tiers), s.seenTiers(), 1) - 1
 	if s.region.announcedAt == 0 {
-		s.region.announcedLowest = last
+		s.region.announcedLowest = AllTiers
 	}
-	due := lowest < last && s.now-s.region.announcedAt >= announceInterval
+	due := lowest < AllTiers && s.now-s.region.announcedAt >= announceInterval
 	if lowest == s.region.announcedLowest && !due {
 		return
 	}
--- a/daemon/scheduler/state.go
+++ b/daemon/scheduler/state.go
@@ -52,7 +52,7 @@
 	lengthSeenAt map[string]clock.Millis
 	index        placer.Index
 
-	tiers  []inventory.Tier
+	order  inventory.TierOrder
 	limits inventory.Limits
 	// coldLimits holds what the upstreams of each pool take while they are cold.
 	coldLimits map[string]inventory.ColdLimit
@@ -187,7 +187,14 @@
 }
 
 func (s *State) handleRules(m Rules) {
-	s.tiers = m.Tiers
+	ranks := make([]int, len(m.Tiers))
+	for i, t := range m.Tiers {
+		ranks[i] = t.Rank
+	}
+	s.order = inventory.NewTierOrder(ranks, m.TierOffsets)
+	s.pace.retain(func(lane int) bool {
+		return s.order.IsUsed(lane/lanesPerTier) || lane == s.lateLane(s.order.Last()) || s.queue.Waiting(lane) > 0
+	})
 	s.limits = m.Limits.WithDefaults()
 	s.queue.Weights = m.Weights
 	s.queue.Capacity = s.limits.QueuePerShard
--- a/daemon/scheduler/status.go
+++ b/daemon/scheduler/status.go
@@ -4,10 +4,10 @@
 
 // Status is a summary of a scheduler for metrics.
 type Status struct {
-	// Waiting and Running are the numbers of asks by tier.
-	Waiting []int `json:"waiting"`
-	Running []int `json:"running"`
-	// Lowest is the lowest tier that is admitted.
+	// Waiting and Running are the numbers of asks by tier, for the tiers that have any.
+	Waiting map[int]int `json:"waiting"`
+	Running map[int]int `json:"running"`
+	// Lowest is the lowest tier that is admitted, AllTiers if none is shed.
 	Lowest    int              `json:"lowest"`
 	Upstreams []UpstreamStatus `json:"upstreams"`
 }
@@ -28,14 +28,12 @@
 
 // Status returns a summary of the current state.
 func (s *State) Status() Status {
-	tiers := max(len(s.tiers), s.seenTiers())
-	status := Status{Waiting: make([]int, tiers), Running: make([]int, tiers), Lowest: s.lowestAdmitted()}
-	for tier := range tiers {
-		status.Waiting[tier] = s.waitingInTier(tier)
-	}
+	status := Status{Waiting: map[int]int{}, Running: map[int]int{}, Lowest: s.lowestAdmitted()}
 	for _, a := range s.asks {
-		if a.upstream != nil && a.Tier < tiers {
+		if a.upstream != nil {
 			status.Running[a.Tier]++
+		} else {
+			status.Waiting[a.Tier]++
 		}
 	}
 	for _, u := range s.upstreams {
