Number tiers by their priorities, not by all that could be in use

Cause: the parser made a tier with a name for each pair of numbers up to the highest ones, 4,004,001 here.

Change: a tier for each priority of a route in use. The number of a request's tier is the tenant's priority times 2^31 plus the route's, so that it means the same in every revision: a request that waits, or comes from a daemon with another revision, stays in order (TestTiersOfDifferentConfigurationsAreInOrder). Between daemons the number goes in a new field; the old one holds the position, and a position from an older build is translated (TestTiersBetweenBuilds). Labels of metrics are positions, 64 at most; budgets between regions are kept for tiers in use.

--- a/common/inventory/tier_order.go
+++ b/common/inventory/tier_order.go
@@ -1,6 +1,9 @@
 package inventory
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // TierSpan is the distance between the offsets of organisations whose tiers don't overlap: all
 // ranks are below it, and so are the numbers that multiply it. Twice the last tier fits an int.
@@ -97,6 +100,14 @@
 // IsUsed reports whether a tier is in use.
 func (o TierOrder) IsUsed(tier int) bool { return o.At(o.Position(tier)) == tier }
 
+// maxTierLabel bounds the values of labels of metrics: configurations may use any number of tiers.
+const maxTierLabel = 64
+
+// TierLabel returns the value of a metric's label for the tier at a position.
+func TierLabel(position int) string {
+	return strconv.Itoa(min(position, maxTierLabel))
+}
+
 func sortedSet(numbers []int) []int {
 	slices.Sort(numbers)
 	return slices.Compact(numbers)
--- a/daemon/classifier/classifier.go
+++ b/daemon/classifier/classifier.go
@@ -26,6 +26,7 @@
 	// name.
 	organisationByTokenHash map[string]string
 	tiersByName             map[string]inventory.Tier
+	tierOrder               inventory.TierOrder
 	// routesByHost holds the routes that name a host, sorted by falling length of
 	// the path.
 	routesByHost map[string][]inventory.Route
@@ -37,6 +38,7 @@
 		config:                  config,
 		organisationByTokenHash: make(map[string]string, len(config.Organisations)),
 		tiersByName:             make(map[string]inventory.Tier, len(config.Tiers)),
+		tierOrder:               config.TierOrder(),
 		routesByHost:            groupByHost(config.Routes),
 	}
 	for _, o := range config.Organisations {
@@ -69,7 +71,7 @@
 	req = &Request{
 		Homes: inventory.HomesOf(route, owner),
 		ID:    head.ID, Organisation: organisation, Route: route.Name, Pool: pool.Name, Kind: pool.Kind,
-		Tier: tier.Rank, Idempotent: route.Idempotent, Stream: content.Stream, Arrived: head.Arrived,
+		Tier: tier.Rank, TierPosition: c.tierOrder.Position(tier.Rank), Idempotent: route.Idempotent, Stream: content.Stream, Arrived: head.Arrived,
 		MaxTokens: max(content.MaxTokens, 0), Method: head.Method, Path: head.target(), Header: forwardedHeader(head.Header), Body: body,
 		Fingerprint: hasher.Fingerprint(organisation, route.Name, body),
 	}
--- a/daemon/classifier/hosts.go
+++ b/daemon/classifier/hosts.go
@@ -87,8 +87,10 @@
 	route := a.Route
 	pool, _ := inventory.Lookup(c.config.Pools, choosePool(route, head.ID))
 	tier := c.tiersByName[route.Tier]
+	number := min(tier.Rank+a.Organisation.TierOffset, c.tierOrder.Last())
 	req := &Request{
-		ID: head.ID, Organisation: a.Organisation.Name, Route: route.Name, Pool: pool.Name, Kind: pool.Kind, Tier: min(tier.Rank+a.Organisation.TierOffset, max(len(c.tiersByName)-1, 0)),
+		ID: head.ID, Organisation: a.Organisation.Name, Route: route.Name, Pool: pool.Name, Kind: pool.Kind,
+		Tier: number, TierPosition: c.tierOrder.Position(number),
 		Idempotent: route.Idempotent, Stream: route.Stream, Resumable: route.Resumable, MaxAttempts: route.MaxAttempts,
 		LatencyObjective: route.ObjectiveMS, EventGap: route.GapMS, Patience: route.PatienceMS, Arrived: head.Arrived, PromptTokens: head.PromptTokens,
 		MaxTokens: head.MaxTokens, ExpectedTokens: head.ExpectedTokens, LastEventID: head.LastEventID,
--- a/daemon/classifier/request.go
+++ b/daemon/classifier/request.go
@@ -26,12 +26,14 @@
 	Organisation string
 	// Key is the caller's Idempotency-Key or a generated one. It is never empty
 	// for a request that is not idempotent.
-	Key        string
-	Route      string
-	Pool       string
-	Kind       inventory.PoolKind
-	Tier       int
-	Idempotent bool
+	Key   string
+	Route string
+	Pool  string
+	Kind  inventory.PoolKind
+	// Tier is the number of the tier and TierPosition its position, see inventory.TierOrder.
+	Tier         int
+	TierPosition int
+	Idempotent   bool
 	// Stream reports whether the caller asked for server-sent events.
 	Stream bool
 	// Arrived and Deadline are readings of this daemon's clock.
--- a/daemon/dispatcher/counters.go
+++ b/daemon/dispatcher/counters.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"strconv"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/refuser"
 )
@@ -46,7 +46,7 @@
 	case err != nil:
 		outcome = "cut"
 	}
-	c.requests.WithLabelValues(strconv.Itoa(req.Tier), outcome).Inc()
+	c.requests.WithLabelValues(inventory.TierLabel(req.TierPosition), outcome).Inc()
 }
 
 func (c *counters) countWasted(registerer prometheus.Registerer, req *classifier.Request) {
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -432,5 +431,5 @@
 		"prompt_tokens", r.req.PromptTokens, "homes", r.homes(), "scheduler", r.terms.Scheduler,
 		"shard", r.terms.Shard, "passed_on_to", r.askedPeers, "chosen_running", r.terms.Running, "chosen_first_ms", r.terms.FirstToken, "chosen_kept_tokens", r.terms.KeptTokens,
 		"revision", r.Source.Current().Revision, "arrived_revision", r.arrivedRevision)
-	r.metrics.countRequest(strconv.Itoa(r.req.Tier), outcome, now-r.req.Arrived)
+	r.metrics.countRequest(inventory.TierLabel(r.req.TierPosition), outcome, now-r.req.Arrived)
 }
--- a/daemon/granter/explain.go
+++ b/daemon/granter/explain.go
@@ -42,7 +42,7 @@
 	if r == nil {
 		return e, ErrNotScheduler
 	}
-	request := &explainRequest{ask: toAsk("", g.Clock.Now(), ask), explained: make(chan reporter.Explanation, 1)}
+	request := &explainRequest{ask: toAsk("", g.tierOrder(), g.Clock.Now(), ask), explained: make(chan reporter.Explanation, 1)}
 	if err = r.inputs.Push(ctx, input{explain: request}); err != nil {
 		return e, err
 	}
--- a/daemon/granter/feeder.go
+++ b/daemon/granter/feeder.go
@@ -79,7 +79,7 @@
 		}
 	}
 	c.rules = &scheduler.Rules{
-		Tiers: config.Tiers, Weights: weights, Limits: config.Limits.WithDefaults(), Cold: cold, Memory: memory,
+		Tiers: config.Tiers, TierOffsets: config.TierOrder().Offsets(), Weights: weights, Limits: config.Limits.WithDefaults(), Cold: cold, Memory: memory,
 		Evacuated: config.EvacuatedDomains(),
 	}
 }
--- a/daemon/granter/granter.go
+++ b/daemon/granter/granter.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -77,6 +78,8 @@
 	// lowestTiers holds the changes to be sent to other shards. A change that
 	// finds it full is dropped: schedulers repeat it while it matters.
 	lowestTiers *ring.Queue[lowestTier]
+	// order holds the last result of tierOrder.
+	order atomic.Pointer[configOrder]
 
 	mu sync.Mutex
 	// runners holds the runner of each shard that is scheduled here, by shard
--- a/daemon/granter/lowest_tier.go
+++ b/daemon/granter/lowest_tier.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 
 	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/connector"
 	"yuccaspread/daemon/gossiper"
@@ -38,7 +40,7 @@
 		shard, _ := assignment.Layout.Lookup(update.shard)
 		for _, other := range assignment.Layout.ShardsOf(shard.Region, shard.Pool) {
 			if other.ID != update.shard {
-				g.sendLowestTier(ctx, &wire.LowestTier{From: update.shard, To: other.ID, Lowest: int32(update.lowest)})
+				g.sendLowestTier(ctx, toLowestTier(g.tierOrder(), update, other.ID))
 			}
 		}
 	}
@@ -69,7 +71,7 @@
 	if r == nil {
 		return false
 	}
-	r.inputs.TryPush(input{message: scheduler.RegionTier{Scheduler: tier.GetFrom(), Lowest: int(tier.GetLowest())}})
+	r.inputs.TryPush(input{message: scheduler.RegionTier{Scheduler: tier.GetFrom(), Lowest: lowestOf(g.tierOrder(), tier)}})
 	return true
 }
 
@@ -83,3 +85,24 @@
 		return err
 	}
 }
+
+// toLowestTier returns the message for another shard. Schedulers of an older build read the
+// position only.
+func toLowestTier(order inventory.TierOrder, update lowestTier, to string) *wire.LowestTier {
+	return &wire.LowestTier{
+		From: update.shard, To: to, Lowest: int32(min(order.Position(min(update.lowest, inventory.MaxTier)), math.MaxInt32)),
+		LowestNumber: int64(min(update.lowest, inventory.MaxTier)) + 1,
+	}
+}
+
+// lowestOf returns the number of the tier of a message. An older build tells its position only; that
+// of the last tier means that none is shed.
+func lowestOf(order inventory.TierOrder, tier *wire.LowestTier) int {
+	if number := tier.GetLowestNumber(); number > 0 {
+		return int(number - 1)
+	}
+	if lowest := order.At(int(tier.GetLowest())); lowest < order.Last() {
+		return lowest
+	}
+	return scheduler.AllTiers
+}
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -64,13 +63,13 @@
 	return m
 }
 
-func (m *metrics) recordGrant(state *askState, now clock.Millis) {
-	m.waits.WithLabelValues(strconv.Itoa(state.ask.Tier)).Observe((now - state.askedAt).Duration().Seconds())
+func (m *metrics) recordGrant(tier string, state *askState, now clock.Millis) {
+	m.waits.WithLabelValues(tier).Observe((now - state.askedAt).Duration().Seconds())
 	m.running.WithLabelValues(state.upstream).Inc()
 }
 
-func (m *metrics) recordRefusal(state *askState, reason wire.RefusalReason) {
-	m.refusals.WithLabelValues(strconv.Itoa(state.ask.Tier), reasonName(reason)).Inc()
+func (m *metrics) recordRefusal(tier string, reason wire.RefusalReason) {
+	m.refusals.WithLabelValues(tier, reasonName(reason)).Inc()
 }
 
 // recordRemoval counts the end of an ask or grant.
--- a/daemon/granter/runner.go
+++ b/daemon/granter/runner.go
@@ -302,7 +302,7 @@
 		case scheduler.UpstreamPaused, scheduler.UpstreamEjected, scheduler.LinksChanged:
 			r.logBelief(e)
 		case scheduler.LowestTier:
-			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(e.Lowest))
+			r.granter.metrics.lowestTier.WithLabelValues(r.id).Set(float64(r.granter.tierOrder().Position(min(e.Lowest, r.granter.tierOrder().Last()))))
 			r.granter.lowestTiers.TryPush(lowestTier{shard: r.id, lowest: e.Lowest})
 		}
 	}
@@ -317,7 +317,7 @@
 	state.upstream, state.version = e.Upstream, e.Version
 	now := r.granter.Clock.Now()
 	state.grantedAt = now
-	r.granter.metrics.recordGrant(state, now)
+	r.granter.metrics.recordGrant(r.granter.tierLabel(state.ask.Tier), state, now)
 	if e.Cold {
 		r.granter.metrics.coldGrants.Inc()
 	}
@@ -339,7 +339,7 @@
 	r.removeAsk(e.ID, state)
 	state.session.removeAsk(e.ID.Number)
 	reason := toRefusalReason(e.Reason)
-	r.granter.metrics.recordRefusal(state, reason)
+	r.granter.metrics.recordRefusal(r.granter.tierLabel(state.ask.Tier), reason)
 	state.session.deliver(&wire.ReserveDown{Message: &wire.ReserveDown_Refusal{Refusal: &wire.Refusal{
 		AskId: e.ID.Number, Reason: reason, RetryAfterMs: int64(e.RetryAfter),
 		Waiting: int32(e.Waiting), WaitMs: int64(e.Wait),
--- a/daemon/granter/session.go
+++ b/daemon/granter/session.go
@@ -88,10 +88,10 @@
 	s.lastHeard.Store(int64(now))
 	switch m := up.GetMessage().(type) {
 	case *wire.ReserveUp_Ask:
-		return s.openAsk(ctx, m.Ask, input{message: toAsk(s.daemon, now, m.Ask)})
+		return s.openAsk(ctx, m.Ask, input{message: toAsk(s.daemon, s.granter.tierOrder(), now, m.Ask)})
 	case *wire.ReserveUp_Announce:
 		return s.openAsk(ctx, m.Announce.GetAsk(), input{
-			message: toAnnounce(s.daemon, now, m.Announce), version: m.Announce.GetVersion(),
+			message: toAnnounce(s.daemon, s.granter.tierOrder(), now, m.Announce), version: m.Announce.GetVersion(),
 		})
 	case *wire.ReserveUp_Confirm:
 		return s.forwardReport(ctx, m.Confirm.GetAskId(), false, toConfirm(s.daemon, m.Confirm))
--- a/daemon/granter/translator.go
+++ b/daemon/granter/translator.go
@@ -2,20 +2,29 @@
 
 import (
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
 	"yuccaspread/daemon/keeper"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/scheduler"
 )
 
-func toAsk(daemon string, now clock.Millis, a *wire.Ask) scheduler.Ask {
+// tierOf returns the number of an ask's tier. An older build tells its position only.
+func tierOf(order inventory.TierOrder, a *wire.Ask) int {
+	if number := a.GetTierNumber(); number > 0 {
+		return int(number - 1)
+	}
+	return order.At(int(a.GetTier()))
+}
+
+func toAsk(daemon string, order inventory.TierOrder, now clock.Millis, a *wire.Ask) scheduler.Ask {
 	var hashes []uint64
 	for _, h := range a.GetPrefixHashes() {
 		hashes = append(hashes, uint64(h))
 	}
 	ask := scheduler.Ask{
 		ID:           scheduler.AskID{Daemon: daemon, Number: a.GetAskId()},
-		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: int(a.GetTier()),
+		Organisation: a.GetOrganisation(), Route: a.GetRoute(), Tier: tierOf(order, a),
 		Deadline: now + clock.Millis(a.GetRemainingMs()), PromptTokens: int(a.GetPromptTokens()),
 		MaxTokens: int(a.GetMaxTokens()), Idempotent: a.GetIdempotent(), PrefixHashes: hashes,
 		Fingerprint: a.GetFingerprint(), Excluded: a.GetExcluded(), Stream: a.GetStream(), ObjectiveOnly: a.GetObjectiveOnly(), Avoided: a.GetAvoided(),
@@ -34,8 +43,8 @@
 	return ask
 }
 
-func toAnnounce(daemon string, now clock.Millis, a *wire.Announce) scheduler.Announce {
-	return scheduler.Announce{Ask: toAsk(daemon, now, a.GetAsk()), Upstream: a.GetUpstream(), FirstToken: a.GetFirstTokenSeen()}
+func toAnnounce(daemon string, order inventory.TierOrder, now clock.Millis, a *wire.Announce) scheduler.Announce {
+	return scheduler.Announce{Ask: toAsk(daemon, order, now, a.GetAsk()), Upstream: a.GetUpstream(), FirstToken: a.GetFirstTokenSeen()}
 }
 
 func toConfirm(daemon string, c *wire.Confirm) input {
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -1,6 +1,7 @@
 package reserver
 
 import (
+	"math"
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
@@ -384,7 +385,7 @@
 		hashes = append(hashes, uint32(h))
 	}
 	ask := &wire.Ask{
-		AskId: res.askID, Shard: res.shard, Organisation: req.Organisation, Route: req.Route, Tier: int32(req.Tier),
+		AskId: res.askID, Shard: res.shard, Organisation: req.Organisation, Route: req.Route, Tier: int32(min(req.TierPosition, math.MaxInt32)), TierNumber: int64(req.Tier) + 1,
 		RemainingMs: int64(req.Deadline - res.remote.Clock.Now()), PromptTokens: int32(req.PromptTokens),
 		MaxTokens: int32(req.MaxTokens), Idempotent: req.Idempotent, PrefixHashes: hashes,
 		Fingerprint: req.Fingerprint, Excluded: res.excluded, Stream: req.Stream,
--- a/daemon/reserver/metrics.go
+++ b/daemon/reserver/metrics.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
+	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/refuser"
 )
 
@@ -42,23 +43,23 @@
 	return m
 }
 
-func (m *metrics) recordReservation(tier int, isLocal bool, waited clock.Millis) {
+func (m *metrics) recordReservation(req *classifier.Request, isLocal bool, waited clock.Millis) {
 	from := "scheduler"
 	if isLocal {
 		from = "local_share"
 	}
-	m.waits.WithLabelValues(strconv.Itoa(tier), from).Observe(waited.Duration().Seconds())
+	m.waits.WithLabelValues(inventory.TierLabel(req.TierPosition), from).Observe(waited.Duration().Seconds())
 }
 
-func (m *metrics) recordRefusal(tier int, err error) {
+func (m *metrics) recordRefusal(req *classifier.Request, err error) {
 	reason := "caller_left"
 	var refusal *refuser.Refusal
 	if errors.As(err, &refusal) {
 		reason = refusal.Title
 	}
-	m.refusals.WithLabelValues(strconv.Itoa(tier), reason).Inc()
+	m.refusals.WithLabelValues(inventory.TierLabel(req.TierPosition), reason).Inc()
 }
 
-func (m *metrics) recordCrossRegion(tier int, bytes int64) {
-	m.crossRegionBytes.WithLabelValues(strconv.Itoa(tier)).Add(float64(bytes))
+func (m *metrics) recordCrossRegion(req *classifier.Request, bytes int64) {
+	m.crossRegionBytes.WithLabelValues(inventory.TierLabel(req.TierPosition)).Add(float64(bytes))
 }
--- a/daemon/reserver/remote.go
+++ b/daemon/reserver/remote.go
@@ -155,11 +155,11 @@
 	if err != nil {
 		err = r.toCallerError(ctx, waitCtx, err)
 		span.SetStatus(codes.Error, err.Error())
-		r.metrics.recordRefusal(req.Tier, err)
+		r.metrics.recordRefusal(req, err)
 		return nil, err
 	}
 	span.SetAttributes(attribute.String("upstream", res.upstream.Name), attribute.Bool("local_share", res.isLocal))
-	r.metrics.recordReservation(req.Tier, res.isLocal, r.Clock.Now()-startedAt)
+	r.metrics.recordReservation(req, res.isLocal, r.Clock.Now()-startedAt)
 	return res, nil
 }
 
--- a/daemon/reserver/spill.go
+++ b/daemon/reserver/spill.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
@@ -90,7 +91,7 @@
 	if usage.Outcome != NotSent {
 		bytes = estimateVolume(res.request, usage.OutputTokens)
 	}
-	r.metrics.recordCrossRegion(res.request.Tier, bytes)
+	r.metrics.recordCrossRegion(res.request, bytes)
 	if bytes < res.chargedBytes {
 		r.chargeVolume(res.request.Tier, bytes-res.chargedBytes, true)
 	}
@@ -107,6 +108,7 @@
 	m := r.crossRegionBytes[tier]
 	if m == nil {
 		m = &hourMeter{}
+		maps.DeleteFunc(r.crossRegionBytes, func(_ int, m *hourMeter) bool { return m.sum(now) == 0 })
 		r.crossRegionBytes[tier] = m
 	}
 	if !force && m.sum(now)+bytes > budget {
@@ -121,7 +123,7 @@
 // limit.
 func (r *Remote) hourlyBudget(tier int) int64 {
 	daemons := max(len(r.Assigner.Current().Members), 1)
-	return tierByRank(r.Source.Current(), tier).CrossRegionBytesPerHour / int64(daemons)
+	return tierByRank(r.Source.Current(), tier%inventory.TierSpan).CrossRegionBytesPerHour / int64(daemons)
 }
 
 func tierByRank(config *inventory.Config, rank int) (tier inventory.Tier) {
