--- a/daemon/attributor/bursts_test.go
+++ b/daemon/attributor/bursts_test.go
@@ -91,7 +91,7 @@
 		for _, e := range effects {
 			if spread, is := e.(Spread); is {
 				for _, c := range cores {
-					c.Step(1100, Received{Reports: spread.Reports})
+					c.Step(1100, Received(spread))
 				}
 			}
 		}
--- a/daemon/granter/metrics.go
+++ b/daemon/granter/metrics.go
@@ -1,7 +1,6 @@
 package granter
 
 import (
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"yuccaspread/common/clock"
--- a/daemon/reserver/entry.go
+++ b/daemon/reserver/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+
 	"yuccaspread/common/clock"
 	"yuccaspread/common/inventory"
 	"yuccaspread/common/wire"
