Count the bytes of an answer without events as progress

Seen by callers: an idempotent request is taken from a sound worker that is in the middle of its answer, run once more, and refused by the other worker: 502 with seconds left, and what had run is thrown away.

Cause: only a whole answer without events counted as progress of its upstream. What had come of its body did not, so that it was silent after one and a half times the objective.

Evidence: TestAnswerThatComesInPiecesIsNotGivenUp failed before, for a body in pieces and for one with a pause; an answer that stops in its body still goes elsewhere (TestAnswerThatStopsInItsBodyIsTakenElsewhere).

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -116,7 +116,7 @@
 // is read completely first, and kept in r.ready until the slot is free; a larger one is
 // forwarded as it arrives. A failure that another attempt may replace is kept in r.failure.
 func (r *requestState) forwardBody(ctx context.Context, res *http.Response, slot reserver.Slot, watch *silenceWatch) (e attemptEnd, err error) {
-	buffered, whole, err := r.readBuffered(res)
+	buffered, whole, err := r.readBuffered(res, watch)
 	if err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
@@ -140,7 +140,7 @@
 
 // readBuffered reads an answer up to maxBufferedBytes, or as far as there is memory for it, and
 // reports whether that is the whole answer.
-func (r *requestState) readBuffered(res *http.Response) (buffered []byte, whole bool, err error) {
+func (r *requestState) readBuffered(res *http.Response, watch *silenceWatch) (buffered []byte, whole bool, err error) {
 	step := chunkBytes
 	if res.ContentLength >= 0 && res.ContentLength < chunkBytes {
 		// One byte more than the answer, as a read without room finds no end.
@@ -158,6 +158,10 @@
 		}
 		n, err := res.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
+		if n > 0 {
+			watch.recordProgress()
+			watch.resume()
+		}
 		if errors.Is(err, io.EOF) {
 			return buffered, true, nil
 		}
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -42,9 +42,8 @@
 
 // silenceWatch looks for another upstream while that of an attempt makes no progress.
 // The attempt goes on meanwhile: it ends only once another upstream has a slot for the
-// request, so that an upstream that is merely slow costs the caller nothing. Whole
-// events count as progress, and so does a whole answer without events; single bytes
-// don't.
+// request, so that an upstream that is merely slow costs the caller nothing. In a stream whole
+// events count as progress, in an answer without events any bytes of its body.
 type silenceWatch struct {
 	request *requestState
 	// excluded names the upstreams that must not take over.
@@ -63,7 +62,8 @@
 	timer *time.Timer
 	// timeout is the one that the timer runs for.
 	timeout clock.Millis
-	// eventTimeout is the timeout between two events, 0 for none. It is stallTimeout once the stream has stalled.
+	// eventTimeout is the timeout between two steps of progress, 0 for none. It is stallTimeout once the stream has
+	// stalled.
 	eventTimeout clock.Millis
 	// steps counts the progress.
 	steps      int
@@ -85,7 +85,9 @@
 		return w
 	}
 	factor := answerTimeoutFactor
+	w.eventTimeout = soundSilence
 	if r.req.Stream {
+		w.eventTimeout = 0
 		factor = firstEventTimeoutFactor
 		if r.req.EventGap > 0 {
 			w.stallTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
@@ -109,7 +111,7 @@
 		w.report.Reset(silentReportTime.Duration())
 	}
 	now := w.request.Clock.Now()
-	if w.steps > 0 && now-w.progressAt > w.stallTimeout {
+	if w.steps > 0 && w.stallTimeout > 0 && now-w.progressAt > w.stallTimeout {
 		w.eventTimeout = w.stallTimeout
 	}
 	w.steps++
@@ -148,7 +150,9 @@
 	w.mu.Lock()
 	steps, silent := w.steps, w.timeout
 	req := *r.req
-	req.LastWriteAt = max(req.LastWriteAt, w.progressAt)
+	if req.Stream {
+		req.LastWriteAt = max(req.LastWriteAt, w.progressAt)
+	}
 	w.mu.Unlock()
 	if end := req.PatienceEnd(); req.LastWriteAt > 0 && end > 0 && end-r.Clock.Now() < sender.MaxEndTimeout {
 		klog.InfoS("upstream is silent, and the caller will have left before another one could go on", logger.KeyRequest, r.req.ID, logger.KeyUpstream, w.upstream,
