Wait for an answer as long as runs of its route usually take

Seen by callers: idempotent requests on a route whose work takes 1.2 s and whose objective is 600 ms are given up after 900 ms though nothing is wrong, and run once more elsewhere.

Cause: the time after which an upstream counts as silent came from the objective alone. Where all runs take longer, silence says nothing.

Evidence: TestSilenceIsMeasuredByWhatRunsUsuallyTake failed before (900 ms where 1,800 are wanted).

Change: one and a half times the median of the route's latest runs, if that is more than one and a half times the objective. The median, so that some slow upstreams don't lengthen the wait for the others.

--- a/daemon/forwarder/answer_silence_test.go
+++ b/daemon/forwarder/answer_silence_test.go
@@ -66,3 +66,27 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// TestSilenceIsMeasuredByWhatRunsUsuallyTake guards against sound upstreams that are given up on a
+// route whose runs take longer than one and a half times its objective.
+func TestSilenceIsMeasuredByWhatRunsUsuallyTake(t *testing.T) {
+	for name, c := range map[string]struct {
+		runs []clock.Millis
+		want clock.Millis
+	}{
+		"no runs":              {nil, 900},
+		"long runs":            {[]clock.Millis{1200, 1200, 1200, 1250}, 1800},
+		"short runs, one long": {[]clock.Millis{60, 60, 5000}, 900},
+	} {
+		r := &requestState{Forwarder: &Forwarder{Clock: clock.System{}}, req: &classifier.Request{Route: "r", LatencyObjective: 600}}
+		r.repeatable, r.maxRuns = true, 2
+		for _, took := range c.runs {
+			r.runTimes.add("r", took)
+		}
+		watch := r.watchSilence(t.Context(), "u", nil)
+		if watch.timeout != c.want {
+			t.Errorf("%s: silent after %d ms, want %d", name, watch.timeout, c.want)
+		}
+		watch.stop()
+	}
+}
--- a/daemon/forwarder/runtimes.go
+++ b/daemon/forwarder/runtimes.go
@@ -11,8 +11,10 @@
 const (
 	// keptRuns is the number of the latest runs of a route that are remembered.
 	keptRuns = 64
-	// runTimeQuantile is the share of a route's runs that take at most the expected time.
-	runTimeQuantile = 0.95
+	// runTimeQuantile is the share of a route's runs that take at most the expected time, and
+	// usualRunQuantile the one that takes at most the usual time.
+	runTimeQuantile  = 0.95
+	usualRunQuantile = 0.5
 	// maxRoutes bounds the routes that are remembered; configurations may rename routes
 	// for as long as the process lives.
 	maxRoutes = 2048
@@ -53,6 +55,18 @@
 // expect returns the time that nearly all runs of the route stay within; known is false for
 // a route without runs.
 func (t *runTimes) expect(route string) (took clock.Millis, known bool) {
+	return t.quantile(route, runTimeQuantile)
+}
+
+// usual returns the time that a run of the route usually takes, 0 for a route without runs.
+func (t *runTimes) usual(route string) clock.Millis {
+	took, _ := t.quantile(route, usualRunQuantile)
+	return took
+}
+
+// quantile returns the time that a share of the latest runs of the route took at most; known is
+// false for a route without runs.
+func (t *runTimes) quantile(route string, share float64) (took clock.Millis, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	runs := t.byRoute[route]
@@ -60,5 +74,5 @@
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(runs.times))
-	return sorted[int(math.Ceil(runTimeQuantile*float64(len(sorted))))-1], true
+	return sorted[int(math.Ceil(share*float64(len(sorted))))-1], true
 }
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -22,8 +22,8 @@
 // Timeouts for an upstream that makes no progress, used where the request can be
 // retried on another upstream. Factors are multiples of what the request names.
 const (
-	// answerTimeoutFactor times the objective is the timeout for an answer without
-	// events, and firstEventTimeoutFactor times the objective the one for the first
+	// answerTimeoutFactor times the objective, or times what a run of the route usually
+	// takes if that is longer, is the timeout for an answer without events, and firstEventTimeoutFactor times the objective the one for the first
 	// event of a stream, which may queue behind other prompts in the engine.
 	answerTimeoutFactor     = 1.5
 	firstEventTimeoutFactor = 2
@@ -84,11 +84,10 @@
 	if last || r.req.LatencyObjective <= 0 {
 		return w
 	}
-	factor := answerTimeoutFactor
+	w.timeout = clock.Millis(answerTimeoutFactor * float64(max(r.req.LatencyObjective, r.runTimes.usual(r.req.Route))))
 	w.eventTimeout = soundSilence
 	if r.req.Stream {
-		w.eventTimeout = 0
-		factor = firstEventTimeoutFactor
+		w.timeout, w.eventTimeout = firstEventTimeoutFactor*r.req.LatencyObjective, 0
 		if r.req.EventGap > 0 {
 			w.stallTimeout = max(eventGapTimeoutFactor*r.req.EventGap, minSilenceTimeout)
 			w.eventTimeout = max(w.stallTimeout, soundSilence)
@@ -96,7 +95,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timeout = max(clock.Millis(factor*float64(r.req.LatencyObjective)), minSilenceTimeout)
+	w.timeout = max(w.timeout, minSilenceTimeout)
 	w.timer = time.AfterFunc(w.timeout.Duration(), func() { w.replace(ctx) })
 	return w
 }
