Leave retries for requests that have surely failed

Seen by callers: requests that a worker turned away get 503 with most of their time left, two attempts allowed and slots free elsewhere, as no retry is left.

Cause: one budget pays for repeats of what surely has not run and for attempts that are given up on suspicion. The latter had used it up.

Evidence: TestSuspicionsLeaveRetriesForFailures fails where suspicions take from the whole budget (0 left instead of 2).

Change: an attempt is given up on silence only if two retries are left after it; half of a daemon's part where that is less, and none where the part is one.

--- a/daemon/forwarder/budget.go
+++ b/daemon/forwarder/budget.go
@@ -21,6 +21,9 @@
 }
 
 const (
+	// reservedRetries is the number of retries that a suspicion leaves. Among many daemons, whose
+	// parts of the allowance are small, it is half of the part, and nothing where one retry is all.
+	reservedRetries = 2
 	// shareFactor and extraFactor keep the sum over all daemons below the bound
 	// while daemons join and leave and their windows are not aligned.
 	shareFactor = 0.95
@@ -36,14 +39,24 @@
 
 // TakeRetry takes one retry from the pool's balance and reports whether the
 // balance allowed it.
-func (b *Budget) TakeRetry(pool string) bool {
+func (b *Budget) TakeRetry(pool string) bool { return b.take(pool, 0) }
+
+// TakeRetryOnSuspicion is TakeRetry for a request whose attempt may still succeed. It leaves some
+// retries for requests that have surely failed.
+func (b *Budget) TakeRetryOnSuspicion(pool string) bool {
+	most := b.maxBalance()
+	return b.take(pool, min(reservedRetries, most/2, most-1))
+}
+
+// take takes one retry from the pool's balance if at least the given number of them is left.
+func (b *Budget) take(pool string, left float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	level := b.balance(pool)
-	if level < 1 {
+	level := b.balance(pool) - 1
+	if level < left {
 		return false
 	}
-	b.setBalance(pool, level-1)
+	b.setBalance(pool, level)
 	return true
 }
 
--- a/daemon/forwarder/decide_test.go
+++ b/daemon/forwarder/decide_test.go
@@ -140,3 +140,24 @@
 		t.Error("six requests must allow exactly one retry, and only for their own pool")
 	}
 }
+
+// TestSuspicionsLeaveRetriesForFailures guards against requests that no upstream ran and that get no
+// other one, because attempts which were merely slow have used up all retries.
+func TestSuspicionsLeaveRetriesForFailures(t *testing.T) {
+	for daemons, want := range map[int]int{1: 2, 7: 2, 20: 1, 66: 0, 350: 0} {
+		b := &Budget{RetriesPerRequest: 0.2, ExtraRetries: 54, Daemons: func() int { return daemons }}
+		for range 1000 {
+			b.AddRequest("p")
+		}
+		onSuspicion, left := 0, 0
+		for b.TakeRetryOnSuspicion("p") {
+			onSuspicion++
+		}
+		for b.TakeRetry("p") {
+			left++
+		}
+		if onSuspicion == 0 || left != want {
+			t.Errorf("%d daemons: %d retries on suspicion, %d left, want %d", daemons, onSuspicion, left, want)
+		}
+	}
+}
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -195,7 +195,7 @@
 	if w.timer == nil || ctx.Err() != nil {
 		return false
 	}
-	if w.steps == steps && w.request.isRepeatable() && w.request.Budget.TakeRetry(w.request.req.Pool) {
+	if w.steps == steps && w.request.isRepeatable() && w.request.Budget.TakeRetryOnSuspicion(w.request.req.Pool) {
 		w.replacement, w.timer = slot, nil
 		return true
 	}
