Lend no limits while seeds are named and nobody answers

Cause: after 2 s without hearing of anybody a daemon took itself for the whole fleet, and so for the home of all limits.

Change: a daemon that has heard of no other though its seeds name some lends after 10 s only; its callers are told after 2 s to come back, with 429.

--- a/daemon/duty_reservation.go
+++ b/daemon/duty_reservation.go
@@ -123,7 +123,7 @@
 	l := &limiter.Limiter{
 		Next: r, Source: source, View: view, Clock: c, Registerer: registerer,
 		Borrow: limiter.NewBorrowFunc(peers, view.Self().Name), AskRelease: limiter.NewReleaseFunc(peers, view.Self().Name),
-		Settled: members.Settled,
+		Settled: members.KnowsFleet,
 	}
 	if s.Hosted != nil && s.Hosted.LimitWindowS > 0 {
 		slack := s.Hosted.LimitSlackTokens
--- a/daemon/gossiper/core.go
+++ b/daemon/gossiper/core.go
@@ -39,6 +39,9 @@
 	// settleAge is the age from which on a daemon assumes that it has found the
 	// others; in fleets of 350 that start at once all know each other by then.
 	settleAge = 2 * clock.Second
+	// loneAge is the age from which on a daemon that has heard of no other, though its seeds name some,
+	// assumes that there is none. Seeds that are gone have been replaced by then.
+	loneAge = 2 * rejoinInterval
 	// agreementTime and agreeingPackets are how long a table has to stay unchanged,
 	// and how many packets of others have to confirm it meanwhile, before a younger
 	// daemon assumes the same.
@@ -239,6 +242,17 @@
 // agreementTime, or it has looked for settleAge.
 func (c *Core) Settled(now clock.Millis) bool { return c.settled || now-c.started >= settleAge }
 
+// KnowsFleet reports whether what this daemon knows may be taken for the whole fleet: it is settled, and
+// has heard of another daemon, or there seems to be none.
+func (c *Core) KnowsFleet(now clock.Millis) bool {
+	if !c.Settled(now) {
+		return false
+	}
+	_, heard := c.LastContact()
+	namesOthers := slices.ContainsFunc(c.seeds, func(seed string) bool { return seed != c.self.PeerListen })
+	return heard || !namesOthers || now-c.started >= loneAge
+}
+
 // buildPacket returns a packet for the recipient with queued updates.
 func (c *Core) buildPacket(now clock.Millis, recipient string) Packet {
 	p := c.newPacket(now)
--- a/daemon/gossiper/gossiper.go
+++ b/daemon/gossiper/gossiper.go
@@ -137,6 +137,15 @@
 	return g.core.Settled(g.Clock.Now())
 }
 
+// KnowsFleet reports whether what this daemon knows may be taken for the whole fleet. Other than Settled
+// it waits longer where seeds are named and none answers.
+func (g *Gossiper) KnowsFleet() bool {
+	g.initialise()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.KnowsFleet(g.Clock.Now())
+}
+
 func (g *Gossiper) tickAfter() clock.Millis {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/limiter/limiter.go
+++ b/daemon/limiter/limiter.go
@@ -32,6 +32,10 @@
 	maxHomesAsked = 3
 	// settlePollInterval is the time between two looks whether the view is settled.
 	settlePollInterval = 20 * clock.Millisecond
+	// maxSettleWait bounds the wait of a request for that, and unsettledRetryAfter is the time after
+	// which its caller may retry, here or elsewhere.
+	maxSettleWait       = 2 * clock.Second
+	unsettledRetryAfter = 1 * clock.Second
 	// unreachablePause is how long a home that did not answer is not called again.
 	unreachablePause = 1 * clock.Second
 )
@@ -224,7 +228,7 @@
 // that one is asked too.
 func (l *Limiter) borrowOne(ctx context.Context, now clock.Millis, terms Terms, want Want) (loan Loan) {
 	if !l.awaitSettled(ctx) {
-		return Loan{}
+		return Loan{RetryAfter: unsettledRetryAfter}
 	}
 	home := l.home(want.Organisation)
 	patient := !l.mayOverdrawOwnPart(want)
@@ -246,11 +250,11 @@
 	return l.lendOwnPart(now, terms, want)
 }
 
-// awaitSettled waits until this daemon knows the fleet, and returns false if ctx ends
-// first.
+// awaitSettled waits until this daemon knows the fleet, and returns false if ctx ends first or that
+// takes too long for a caller to wait.
 func (l *Limiter) awaitSettled(ctx context.Context) bool {
-	for l.Settled != nil && !l.Settled() {
-		if ctx.Err() != nil {
+	for until := l.Clock.Now() + maxSettleWait; l.Settled != nil && !l.Settled(); {
+		if ctx.Err() != nil || l.Clock.Now() >= until {
 			return false
 		}
 		clock.Sleep(ctx, settlePollInterval)
