Look for a restart where the end of an answer is read late

Seen by callers: a part of an answer without a length or chunks, with a proper end, where its worker has crashed and was up again when the daemon of a slow caller, or one that had stood still, came to the end (review/6, MIXED).

Cause: whether the worker had crashed was asked when the end was read, which may be seconds after it came.

Change: an answer's body knows since when its end may have been there. If that is half a second or more, the daemon waits up to 1.5 s for the register to name another run at the address, and cuts the answer if it does.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/reserver"
@@ -189,9 +190,46 @@
 }
 
 // endedWithUpstream reports whether an answer may have ended early: the connection that delimits
-// it is closed in the same way when its upstream is killed.
+// it is closed in the same way when its upstream is killed. Where the end is read late, the upstream
+// may have been started again meanwhile.
 func (r *requestState) endedWithUpstream(ctx context.Context, res *http.Response) bool {
-	return sender.IsDelimitedByEnd(res) && r.Sender.HasCrashed(ctx, res.Request.URL.Host)
+	if !sender.IsDelimitedByEnd(res) {
+		return false
+	}
+	address := res.Request.URL.Host
+	if r.Sender.HasCrashed(ctx, address) {
+		return true
+	}
+	age := sender.EndAge(res)
+	if age < lateEndAge {
+		return false
+	}
+	replaced := r.wasReplaced(ctx, address)
+	klog.InfoS("end of an answer without a length was read late", logger.KeyRequest, r.req.ID, logger.KeyUpstream, r.lastUpstream,
+		"end_age_ms", age, "upstream_replaced", replaced)
+	return replaced
+}
+
+// Limits of the check whether an upstream was started again.
+const (
+	// lateEndAge is the age of the end of an answer from which on its upstream may have been started
+	// again after a crash.
+	lateEndAge = 500 * clock.Millisecond
+	// registerLag is how long the entry of an upstream that was started again may take to get here.
+	registerLag      = 1500 * clock.Millisecond
+	registerInterval = 50 * clock.Millisecond
+)
+
+// wasReplaced waits until the register names another run of an upstream at the address, and returns
+// false if it does not within registerLag.
+func (r *requestState) wasReplaced(ctx context.Context, address string) bool {
+	isOther := func(u inventory.Upstream) bool { return u.Address == address && u.Name != r.lastUpstream }
+	for until := r.Clock.Now() + registerLag; r.Clock.Now() < until; {
+		if slices.ContainsFunc(r.Source.Current().Upstreams, isOther) || !clock.Sleep(ctx, registerInterval) {
+			return true
+		}
+	}
+	return false
 }
 
 // forwardEvents forwards a stream of events as they arrive, and returns the number of
--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -184,7 +184,7 @@
 	}
 	if used != nil {
 		run.setAnswered(res.Body == http.NoBody)
-		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused, delimitedByEnd: IsDelimitedByEnd(res)}
+		res.Body = &answerBody{ReadCloser: res.Body, run: run, conn: used, reused: reused, delimitedByEnd: IsDelimitedByEnd(res), waitedFrom: wallTime()}
 	}
 	return res, accepted, nil
 }
@@ -233,6 +233,21 @@
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
+// EndAge returns for how long the end of an answer that was read to its end may have been there
+// before: the time since its upstream was last waited for. It counts the time in which this machine
+// stood still.
+func EndAge(res *http.Response) clock.Millis {
+	body, tracked := trackedBody(res)
+	if !tracked || body.waitedFrom.IsZero() {
+		return 0
+	}
+	return clock.Millis(wallTime().Sub(body.waitedFrom).Milliseconds())
+}
+
+// wallTime returns the time of day without the steady clock, which may not count the time in which
+// the machine stands still.
+func wallTime() time.Time { return time.Now().Round(0) }
+
 // IsFirst reports whether the connection of an answer has carried no request before, so that no
 // data of an earlier answer can have been read as this one.
 func IsFirst(res *http.Response) bool {
@@ -296,14 +311,24 @@
 	closeConn bool
 	// delimitedByEnd means that only the end of the connection tells where the answer ends.
 	delimitedByEnd bool
+	// waitedFrom is when the last read began that had to wait, so that all that had come was read
+	// then. It begins with the answer.
+	waitedFrom time.Time
 }
 
+// waitingRead is how long a read takes at least that has waited for the upstream.
+const waitingRead = time.Millisecond
+
 // Read implements io.Reader.
 func (b *answerBody) Read(piece []byte) (n int, err error) {
 	if !b.closeConn {
 		b.conn.settle(b.run)
 	}
+	began := wallTime()
 	n, err = b.ReadCloser.Read(piece)
+	if wallTime().Sub(began) >= waitingRead {
+		b.waitedFrom = began
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
