Don't take a busy machine's reads for waits after a standstill

Cause: a read of one millisecond counted as one that had waited for the upstream. The machine that goes on is busy, so that reads of what had come meanwhile take as long, and the end seemed to be new.

Change: where no read has waited for half a second, only one of 50 ms has.

--- a/daemon/sender/sender.go
+++ b/daemon/sender/sender.go
@@ -316,8 +316,14 @@
 	waitedFrom time.Time
 }
 
-// waitingRead is how long a read takes at least that has waited for the upstream.
-const waitingRead = time.Millisecond
+// Times from which on a read counts as one that has waited for the upstream.
+const (
+	waitingRead = time.Millisecond
+	// lateWaitingRead is that time where no read has waited for staleAfter: a machine that has stood
+	// still is busy when it goes on, and reads what has come meanwhile with pauses.
+	lateWaitingRead = 50 * time.Millisecond
+	staleAfter      = 500 * time.Millisecond
+)
 
 // Read implements io.Reader.
 func (b *answerBody) Read(piece []byte) (n int, err error) {
@@ -326,7 +332,11 @@
 	}
 	began := wallTime()
 	n, err = b.ReadCloser.Read(piece)
-	if wallTime().Sub(began) >= waitingRead {
+	waiting := waitingRead
+	if began.Sub(b.waitedFrom) >= staleAfter {
+		waiting = lateWaitingRead
+	}
+	if wallTime().Sub(began) >= waiting {
 		b.waitedFrom = began
 	}
 	if !errors.Is(err, io.EOF) {
