Show that two bad parts in one burst are not told apart

Seen in virtual time: bursts of 12 and of 50 requests with either of two parts that crash upstreams go on (8 to 153 late requests, 6 allowed for both).

Cause, by reading: keys that were running at the same crashes are blocked together, until they are seen apart. Here they are never seen apart, as each upstream runs requests with either.

The fleet in virtual time draws no more numbers than before where there is one part.

--- a/daemon/attributor/bursts_test.go
+++ b/daemon/attributor/bursts_test.go
@@ -153,3 +153,28 @@
 		}
 	}
 }
+
+// TestBurstsOfTwoBadPartsAreBlocked guards against two parts that crash upstreams at the same moments,
+// in different requests, and are not told apart: ten crashes make one of them known by the fifth.
+func TestBurstsOfTwoBadPartsAreBlocked(t *testing.T) {
+	for _, size := range []int{4, 6, 12, 50} {
+		for seed := range uint64(4) {
+			f := newFleet(seed, 3, 10)
+			f.badParts = 2
+			f.play(6*clock.Second, 20, 0, 0)
+			for range 8 {
+				f.sendBurst(size)
+				f.play(4*clock.Second, 20, 0, 0)
+			}
+			late := 0
+			for _, at := range f.reached {
+				if len(f.crashes) >= 10 && at > f.crashes[9]+3*clock.Second {
+					late++
+				}
+			}
+			if late > 6 {
+				t.Errorf("bursts of %d, seed %d: %d requests with the parts reached upstreams later than 3 s after the tenth crash; %d crashes", size, seed, late, len(f.crashes))
+			}
+		}
+	}
+}
--- a/daemon/attributor/core_test.go
+++ b/daemon/attributor/core_test.go
@@ -240,7 +240,9 @@
 	// refused counts refused sound requests, served the others.
 	refused, served int
 	nextRequest     uint64
-	names           int
+	// badParts is the number of bad parts from badPart on, of which a bad request holds one; 0 is one.
+	badParts uint64
+	names    int
 }
 
 type worker struct {
@@ -265,11 +267,12 @@
 }
 
 const (
-	badPart   = 999_999
-	tickTime  = 10 * clock.Millisecond
-	runTime   = 600 * clock.Millisecond
-	crashTime = 150 * clock.Millisecond
-	downTime  = 3 * clock.Second
+	badPart     = 999_999
+	maxBadParts = 2
+	tickTime    = 10 * clock.Millisecond
+	runTime     = 600 * clock.Millisecond
+	crashTime   = 150 * clock.Millisecond
+	downTime    = 3 * clock.Second
 )
 
 func newFleet(seed uint64, daemons, workers int) *fleet {
@@ -308,7 +311,11 @@
 	rare := uint64(1000 + int(f.random.ExpFloat64()*40))
 	r := run{daemon: f.random.IntN(len(f.cores)), id: f.nextRequest, parts: []uint64{1, uint64(10 + f.random.IntN(5)), rare}}
 	if f.random.Float64() < badShare {
-		r.parts = append(r.parts, badPart)
+		part := uint64(badPart)
+		if f.badParts > 1 {
+			part += f.random.Uint64N(f.badParts)
+		}
+		r.parts = append(r.parts, part)
 	}
 	return r
 }
@@ -397,7 +404,9 @@
 	}
 }
 
-func isBad(r run) bool { return slices.Contains(r.parts, badPart) }
+func isBad(r run) bool {
+	return slices.ContainsFunc(r.parts, func(part uint64) bool { return part >= badPart && part < badPart+maxBadParts })
+}
 
 // hasTurn gives each turn of a block to one daemon.
 func (f *fleet) hasTurn(daemon int) HasTurn {
