Block two bad parts that crash upstreams at the same moments

What callers saw: bursts of requests with either of two parts that crash upstreams went on crashing them.

Cause, traced in virtual time: the part at more crashes explains all of them, the other one is left with too few and is not blocked; its next burst is at more crashes, and the first one is unblocked. Where both were at the same crashes, they were blocked together, so that only requests with both were refused. The reports name the request, so what ran in other requests can be told.

Change: a part at most of the crashes of a block, in other requests, is blocked provisionally, so that one request at a time tries it.

--- a/daemon/attributor/block.go
+++ b/daemon/attributor/block.go
@@ -10,8 +10,8 @@
 	"yuccaspread/common/clock"
 )
 
-// Block refuses requests with all of its keys. Keys that were running at the same crashes
-// are blocked together, until a request with only some of them is completed or crashes an
+// Block refuses requests with all of its keys. Keys that were running at the same crashes in the
+// same requests are blocked together, until a request with only some of them is completed or crashes an
 // upstream.
 type Block struct {
 	// Keys are sorted.
@@ -84,6 +84,8 @@
 	crashes     int
 	first, last clock.Millis
 	upstreams   []string
+	// requests are those that were running at the crashes.
+	requests []uint64
 }
 
 // suffices reports whether the crashes block a key.
@@ -128,7 +130,7 @@
 			blocks = append(blocks, block)
 		}
 	}
-	return blocks
+	return append(blocks, c.rivalBlocks(parts, blocks, explained)...)
 }
 
 // mayBlock reports whether a key has enough reports to be blocked.
@@ -153,7 +155,7 @@
 		case len(s.upstreams) > len(most.upstreams):
 			most = s
 			block.Keys = []uint64{key}
-		case slices.Equal(s.upstreams, most.upstreams):
+		case slices.Equal(s.upstreams, most.upstreams) && shareHalf(s.requests, most.requests):
 			block.Keys = append(block.Keys, key)
 		}
 	}
@@ -167,7 +169,6 @@
 
 // suspect returns what the crashes that are not explained say about a key.
 func (c *Core) suspect(key uint64, explained map[string]bool) (s suspicion) {
-	var requests []uint64
 	for _, r := range c.reports[key] {
 		if r.Void || explained[r.Upstream] {
 			continue
@@ -180,11 +181,11 @@
 			s.last = r.At
 		}
 		s.upstreams = append(s.upstreams, r.Upstream)
-		if !slices.Contains(requests, r.Request) {
-			requests = append(requests, r.Request)
+		if !slices.Contains(s.requests, r.Request) {
+			s.requests = append(s.requests, r.Request)
 		}
 	}
-	if len(requests) < blockingRequests && !slices.Contains(requests, key) {
+	if len(s.requests) < blockingRequests && !slices.Contains(s.requests, key) {
 		return suspicion{}
 	}
 	if float64(s.crashes) < minExplainedShare*float64(c.crashesBetween(s.first, s.last, explained)) {
--- a/daemon/attributor/core_test.go
+++ b/daemon/attributor/core_test.go
@@ -111,6 +111,28 @@
 			nil,
 			[][]uint64{{bad}},
 		},
+		"two parts at the same crashes, in different requests": {
+			func(c *Core) {
+				for i := range uint64(4) {
+					crashDuring(c, 6000, fmt.Sprint(i), 91+i, bad)
+					crashDuring(c, 6000, fmt.Sprint(i), 81+i, other)
+				}
+			},
+			[][]uint64{{bad}, {other}},
+			[][]uint64{{companion}},
+		},
+		"a part in some requests of a burst": {
+			func(c *Core) {
+				for i := range uint64(8) {
+					crashDuring(c, 6000, fmt.Sprint(i), 91+i, bad)
+				}
+				for i := range uint64(4) {
+					crashDuring(c, 6000, fmt.Sprint(i), 81+i, companion)
+				}
+			},
+			[][]uint64{{bad}},
+			[][]uint64{{companion}},
+		},
 		"told by others": {
 			func(c *Core) {
 				crashDuring(c, 3000, "c", 93, bad)
