Ask an overdue upstream to stop before its stream goes on elsewhere

Cause: an upstream that doesn't close its side counts as having stopped after 0.4 to 1 s. That holds for one that writes at its usual pace, as its next write meets the reset; when one that is overdue writes again is told by nothing.

Change: where a stream has begun, its upstream is overdue and is one that reports without a slot, the daemon ends its sending side only and reads on. An upstream that looks closes, and the stream goes on elsewhere at once. One that doesn't is asked for a report: without one the end is presumed as before; with one the slot elsewhere is released and the stream waited for. An orderly end within one event after the question counts as broken off, since it may be the answer to it.

Ruled out: the same for streams that have not begun and for plain answers.

--- a/daemon/forwarder/answer.go
+++ b/daemon/forwarder/answer.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return broken, fmt.Errorf("%w: %w", errIncomplete, err)
 	}
-	watch.recordProgress()
+	watch.recordProgress(1)
 	slot.FirstToken(reserver.CachedUnknown)
 	r.recordFirstByte()
 	if !whole {
@@ -160,7 +160,7 @@
 		n, err := res.Body.Read(buffered[len(buffered):cap(buffered)])
 		buffered = buffered[:len(buffered)+n]
 		if n > 0 {
-			watch.recordProgress()
+			watch.recordProgress(1)
 			watch.resume()
 		}
 		if errors.Is(err, io.EOF) {
@@ -252,6 +252,10 @@
 		if !errors.Is(readErr, io.EOF) || endedHere {
 			return broken, splitter.events, fmt.Errorf("%w: %w", errIncomplete, readErr)
 		}
+		if watch.mayHaveStopped() {
+			watch.cancel(errSilent)
+			return broken, splitter.events, fmt.Errorf("%w: the upstream was asked to stop", errIncomplete)
+		}
 		e, err = r.finishStream(ctx, res, &splitter)
 		return e, splitter.events, err
 	}
@@ -263,7 +267,7 @@
 	out := splitter.feed(piece)
 	progressed := splitter.events > before
 	if progressed {
-		watch.recordProgress()
+		watch.recordProgress(splitter.events - before)
 		if before == 0 {
 			slot.FirstToken(reserver.CachedUnknown)
 			r.recordFirstByte()
--- a/daemon/forwarder/answer_silence_test.go
+++ b/daemon/forwarder/answer_silence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/reserver"
 )
@@ -83,7 +84,7 @@
 		for _, took := range c.runs {
 			r.runTimes.add("r", took)
 		}
-		watch := r.watchSilence(t.Context(), "u", nil)
+		watch := r.watchSilence(t.Context(), inventory.Upstream{Name: "u"}, nil)
 		if watch.timeout != c.want {
 			t.Errorf("%s: silent after %d ms, want %d", name, watch.timeout, c.want)
 		}
--- a/daemon/forwarder/copies_test.go
+++ b/daemon/forwarder/copies_test.go
@@ -23,6 +23,8 @@
 
 func (taggedProtocol) Header(a Attempt) http.Header { return http.Header{"Id": {a.Request.ID}} }
 
+func (taggedProtocol) ReportPath(*classifier.Request) string { return "" }
+
 func (taggedProtocol) ResponseInfo(_ int, header http.Header) ResponseInfo {
 	return ResponseInfo{RequestID: header.Get("Id"), Authenticated: true}
 }
--- a/daemon/forwarder/delegate_helpers_test.go
+++ b/daemon/forwarder/delegate_helpers_test.go
@@ -59,6 +59,8 @@
 	return header
 }
 
+func (sealedProtocol) ReportPath(*classifier.Request) string { return "" }
+
 func (sealedProtocol) ResponseInfo(_ int, header http.Header) (info ResponseInfo) {
 	info.RequestID, info.Authenticated = header.Get(headerID), header.Get(headerSeal) != ""
 	seconds, _ := strconv.Atoi(header.Get("Retry-After"))
--- a/daemon/forwarder/forwarder.go
+++ b/daemon/forwarder/forwarder.go
@@ -308,7 +308,7 @@
 	span.SetAttributes(attribute.String("upstream", upstream.Name))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := r.watchSilence(ctx, upstream.Name, cancel)
+	watch := r.watchSilence(ctx, upstream, cancel)
 	defer func() { replacement = watch.stop() }()
 	defer r.watchCut(ctx, slot, watch, cancel)()
 	res, err := r.Sender.Send(ctx, sender.Call{
--- a/daemon/forwarder/protocol.go
+++ b/daemon/forwarder/protocol.go
@@ -47,6 +47,9 @@
 	Header(a Attempt) http.Header
 	// ResponseInfo reads the protocol fields from an answer's status and headers.
 	ResponseInfo(status int, header http.Header) ResponseInfo
+	// ReportPath returns the path of a GET that the upstreams of a request answer at once, whatever
+	// they have to do; empty for none.
+	ReportPath(req *classifier.Request) string
 }
 
 // CallerProtocol writes request headers as callers do.
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/reserver"
 	"yuccaspread/daemon/sender"
@@ -48,8 +49,10 @@
 	request *requestState
 	// excluded names the upstreams that must not take over.
 	excluded []string
-	// upstream is the one that progress shows to be reached; empty for none.
-	upstream string
+	// upstream is the one that progress shows to be reached, and address its address; empty for none.
+	upstream, address string
+	// run follows the attempt.
+	run *sender.Run
 	// cancel ends the attempt.
 	cancel context.CancelCauseFunc
 	// stallTimeout is the time without an event after which a stream stalls; 0 means none.
@@ -70,15 +73,21 @@
 	progressAt clock.Millis
 	// replacement is the slot that takes over, nil for none.
 	replacement reserver.Slot
+	// asked is set once the upstream was asked to stop, after stepsAsked steps.
+	asked      bool
+	stepsAsked int
 }
 
 // watchSilence starts the watch of an attempt. The last allowed attempt is not watched: a
 // late answer is better than none. Nor is a request without a bound of its own
 // (maxRuns 0).
-func (r *requestState) watchSilence(ctx context.Context, upstream string, cancel context.CancelCauseFunc) *silenceWatch {
-	w := &silenceWatch{request: r, excluded: append(slices.Clone(r.excluded), upstream), upstream: upstream, cancel: cancel}
+func (r *requestState) watchSilence(ctx context.Context, upstream inventory.Upstream, cancel context.CancelCauseFunc) *silenceWatch {
+	w := &silenceWatch{
+		request: r, excluded: append(slices.Clone(r.excluded), upstream.Name), upstream: upstream.Name, address: upstream.Address,
+		run: r.lastRun, cancel: cancel,
+	}
 	if r.Survey != nil {
-		w.report = time.AfterFunc(silentReportTime.Duration(), func() { r.Survey.Unreached(upstream) })
+		w.report = time.AfterFunc(silentReportTime.Duration(), func() { r.Survey.Unreached(upstream.Name) })
 	}
 	last := !r.repeatable || r.runs+1 >= max(r.maxRuns, 1)
 	if last || r.req.LatencyObjective <= 0 {
@@ -100,9 +109,9 @@
 	return w
 }
 
-// recordProgress counts progress and stops the timer, which resume restarts: while the
+// recordProgress counts steps of progress, the events of a stream, and stops the timer, which resume restarts: while the
 // caller takes what has come, the upstream is not waited for.
-func (w *silenceWatch) recordProgress() {
+func (w *silenceWatch) recordProgress(steps int) {
 	w.request.reached(w.upstream)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,7 +122,7 @@
 	if w.steps > 0 && w.stallTimeout > 0 && now-w.progressAt > w.stallTimeout {
 		w.eventTimeout = w.stallTimeout
 	}
-	w.steps++
+	w.steps += steps
 	w.progressAt = now
 	if w.timer != nil {
 		w.timer.Stop()
@@ -168,7 +177,7 @@
 			"timeout_ms", silent, "events", steps, "replaced", taken, "other", err == nil)
 	}
 	if taken {
-		w.cancel(errSilent)
+		w.giveUp(ctx, steps)
 		return
 	}
 	if err == nil {
@@ -213,5 +222,6 @@
 		w.timer.Stop()
 		w.timer = nil
 	}
-	return w.replacement
+	replacement, w.replacement = w.replacement, nil
+	return replacement
 }
--- a/daemon/forwarder/watch_test.go
+++ b/daemon/forwarder/watch_test.go
@@ -72,6 +72,8 @@
 	return http.Header{"Last-Event-Id": {a.LastEventID}}
 }
 
+func (plainProtocol) ReportPath(*classifier.Request) string { return "" }
+
 func (plainProtocol) ResponseInfo(int, http.Header) ResponseInfo {
 	return ResponseInfo{Authenticated: true}
 }
@@ -128,6 +130,12 @@
 
 // forwardWith is forwardTo for a request that change has changed.
 func forwardWith(t *testing.T, change func(req *classifier.Request), retries float64, handlers ...http.Handler) (body string, outcomes []reserver.Outcome, err error) {
+	t.Helper()
+	return forwardBy(t, plainProtocol{}, change, retries, handlers...)
+}
+
+// forwardBy is forwardWith for upstreams with a protocol.
+func forwardBy(t *testing.T, protocol Protocol, change func(req *classifier.Request), retries float64, handlers ...http.Handler) (body string, outcomes []reserver.Outcome, err error) {
 	t.Helper()
 	source, slots := &fixedSource{}, &fixedSlots{}
 	for i, handler := range handlers {
@@ -138,7 +146,7 @@
 	}
 	source.config.Upstreams = slots.upstreams
 	f := &Forwarder{
-		Source: source, Clock: clock.System{}, Reserver: slots, Sender: &sender.Sender{}, Protocol: plainProtocol{},
+		Source: source, Clock: clock.System{}, Reserver: slots, Sender: &sender.Sender{}, Protocol: protocol,
 		Budget: &Budget{RetriesPerRequest: retries, ExtraRetries: 100, Daemons: func() int { return 1 }},
 	}
 	// Earlier requests have earned some retries.
--- a/daemon/sender/conn.go
+++ b/daemon/sender/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -49,6 +50,10 @@
 	closedByUpstream bool
 	// closedAt is when Close was called first, zero before.
 	closedAt time.Time
+	// askedAt is when the sending side was ended by askEnd, zero before; stopped is called once the
+	// upstream closes after it.
+	askedAt time.Time
+	stopped func()
 	// writing is closed when the write in progress ends; nil for none. writeFailed reports that the peer has
 	// ended a write.
 	writing     chan struct{}
@@ -87,7 +92,7 @@
 	if !c.awaitSettled(ctx) {
 		return unsettled
 	}
-	if time.Since(c.opened) > maxConnectionAge.Duration() {
+	if time.Since(c.opened) > maxConnectionAge.Duration() || c.isAsked() {
 		return worn
 	}
 	if id == "" {
@@ -142,7 +147,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(piece []byte) (n int, err error) {
 	c.mu.Lock()
-	r, closed := c.run, !c.closedAt.IsZero()
+	r, closed := c.run, !c.closedAt.IsZero() || !c.askedAt.IsZero()
 	c.mu.Unlock()
 	if closed || r == nil || !r.startWrite() {
 		return 0, errRunEnded
@@ -194,22 +199,62 @@
 		// What has come may be the upstream's answer to the close.
 		return 0, net.ErrClosed
 	}
+	if errors.Is(err, io.EOF) && c.isAsked() {
+		return n, errStopped
+	}
 	return n, err
 }
 
 // recordRead records the data or the error of a read.
 func (c *conn) recordRead(n int, err error) {
+	var stopped func()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if n > 0 {
 		now := time.Now()
 		c.pause, c.dataAt = now.Sub(c.dataAt), now
 	}
 	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.closedByUpstream = true
+		stopped, c.stopped = c.stopped, nil
+	}
+	c.mu.Unlock()
+	if stopped != nil {
+		stopped()
 	}
 }
 
+// errStopped is the end of a connection after askEnd: an answer that only the end delimits may have
+// been broken off.
+var errStopped = errors.New("upstream closed the connection when it was asked to stop")
+
+// askEnd ends the sending side during a run and goes on reading. It returns false if that can't be done,
+// or was done before.
+func (c *conn) askEnd(r *Run, stopped func()) bool {
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !isTCP || c.run != r || c.writing != nil || c.closedByUpstream || !c.closedAt.IsZero() || !c.askedAt.IsZero() {
+		return false
+	}
+	if tcp.CloseWrite() != nil {
+		return false
+	}
+	c.askedAt, c.stopped = time.Now(), stopped
+	return true
+}
+
+func (c *conn) isOverdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.dataAt) > c.pause+endTimeout.Duration()
+}
+
+func (c *conn) isAsked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.askedAt.IsZero()
+}
+
 // Close implements net.Conn. It returns at once.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -266,15 +311,19 @@
 func (c *conn) presumedEnd() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	end := c.closedAt.Add(endTimeout.Duration())
+	from := c.closedAt
+	if c.askedAt.After(c.dataAt) {
+		from = c.askedAt
+	}
+	end := from.Add(endTimeout.Duration())
 	next := c.dataAt.Add(c.pause)
-	if c.closedAt.After(c.dataAt) {
-		next = c.closedAt.Add(c.closedAt.Sub(c.dataAt))
+	if from.After(c.dataAt) {
+		next = from.Add(from.Sub(c.dataAt))
 	}
 	if c.pause > 0 && next.After(end) {
 		end = next
 	}
-	if latest := c.closedAt.Add(MaxEndTimeout.Duration()); end.After(latest) {
+	if latest := from.Add(MaxEndTimeout.Duration()); end.After(latest) {
 		return latest
 	}
 	return end
--- a/daemon/sender/run.go
+++ b/daemon/sender/run.go
@@ -88,6 +88,20 @@
 	return false
 }
 
+// IsOverdue reports whether the upstream is silent for clearly longer than it was before its last data, so
+// that nothing tells when it will write again.
+func (r *Run) IsOverdue() bool {
+	return r.isOpen() && r.connection().isOverdue()
+}
+
+// AskEnd asks the upstream of a call that was sent to stop, by the end of the sending side. One that looks
+// at its connection closes it, which ends the call, and stopped is called before any reader knows. One
+// that doesn't look goes on, and its answer is read on. AskEnd returns false if the upstream
+// can't be asked, or was asked before.
+func (r *Run) AskEnd(stopped func()) (asked bool) {
+	return r.isOpen() && r.connection().askEnd(r, stopped)
+}
+
 func (r *Run) connection() *conn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
