Don't take a stream for whole that ends soon after its upstream was asked to stop

What callers would have seen since: a stream that its upstream ended in order when it noticed the question, after two quick events, passed for whole (MIXED). Found by thinking it through, not in a run of real processes.

Cause: two events after the question counted as a sign that the upstream doesn't look. One that stood still writes on until it is told.

Change: an end within 0.25 s after the first event counts as broken off as well, and the stream goes on elsewhere. If it was whole, nothing is left to send there.

--- a/daemon/forwarder/give_up.go
+++ b/daemon/forwarder/give_up.go
@@ -20,6 +20,8 @@
 	reportInterval = 1 * clock.Second
 	// progressInterval is the time between two looks at the progress of an attempt.
 	progressInterval = 50 * clock.Millisecond
+	// stopDelay is how long an upstream that goes on may take to notice that it was asked to stop.
+	stopDelay = 250 * clock.Millisecond
 	// maxReportBytes bounds what is read of a report.
 	maxReportBytes = 64 << 10
 )
@@ -68,11 +70,12 @@
 }
 
 // mayHaveStopped reports whether the end of a stream may be the upstream's way to stop when it was asked to, and
-// not that of the whole stream. An upstream that has written two events since then did not look.
+// not that of the whole stream. An upstream that looks between two events writes one at most, unless it
+// has stood still and is yet to be told.
 func (w *silenceWatch) mayHaveStopped() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.asked && w.steps < w.stepsAsked+2
+	return w.asked && (w.steps < w.stepsAsked+2 || w.request.Clock.Now()-w.wentOnAt < stopDelay)
 }
 
 // goOn lets an attempt go on that was to be given up, and watches it again.
--- a/daemon/forwarder/watch.go
+++ b/daemon/forwarder/watch.go
@@ -76,6 +76,8 @@
 	// asked is set once the upstream was asked to stop, after stepsAsked steps.
 	asked      bool
 	stepsAsked int
+	// wentOnAt is when the first progress after that was made, 0 before.
+	wentOnAt clock.Millis
 }
 
 // watchSilence starts the watch of an attempt. The last allowed attempt is not watched: a
@@ -122,6 +124,9 @@
 	if w.steps > 0 && w.stallTimeout > 0 && now-w.progressAt > w.stallTimeout {
 		w.eventTimeout = w.stallTimeout
 	}
+	if w.asked && w.steps == w.stepsAsked {
+		w.wentOnAt = now
+	}
 	w.steps += steps
 	w.progressAt = now
 	if w.timer != nil {
