Don't give up a stream that goes on while its report is awaited

Found by reading.

Cause: the wait for the report ended in giving up, whatever had come meanwhile.

Change: progress is looked at before the attempt is ended.

Test: "goes on without a report" failed before (one run at the other upstream); 6 of 6 runs of the test pass now.

--- a/daemon/forwarder/give_up.go
+++ b/daemon/forwarder/give_up.go
@@ -55,6 +55,10 @@
 				"events", steps, "asked_ms_ago", r.Clock.Now()-asked)
 		}
 	}
+	if w.count() != steps {
+		w.goOn(ctx)
+		return
+	}
 	w.cancel(errSilent)
 }
 
--- a/daemon/forwarder/give_up_test.go
+++ b/daemon/forwarder/give_up_test.go
@@ -68,6 +68,10 @@
 			time.Sleep(overduePause)
 			return true
 		}}, 0, overduePause + 2*time.Second},
+		"goes on without a report": {&streamer{gap: 150 * time.Millisecond, pause: func(*http.Request, func()) bool {
+			time.Sleep(soundSilence.Duration() + 200*time.Millisecond)
+			return true
+		}}, 0, 4 * time.Second},
 		"ends too soon to be sure": {&streamer{answersReports: true, pause: func(*http.Request, func()) bool {
 			time.Sleep(overduePause)
 			return true
