--- a/daemon/relayer/relayer_test.go
+++ b/daemon/relayer/relayer_test.go
@@ -34,7 +34,7 @@
 	}))
 	defer upstream.Close()
 	relay := &relayer.Relay{
-		Sender: &sender.Sender{}, AttemptID: "a.1", Resumable: true, Stream: true, SilenceTimeout: 20 * clock.Millisecond,
+		Sender: &sender.Sender{}, AttemptID: "a.1", Resumable: true, Stream: true, SilenceTimeout: 500 * clock.Millisecond,
 		Answer: &deduplicator.Answer{},
 		Call:   sender.Call{Method: http.MethodPost, Address: strings.TrimPrefix(upstream.URL, "http://"), Path: "/v1/completions", Body: []byte("{}")},
 	}
