Tell by which state a request was refused, and who confirmed it

Cause: the log line of a refused request names the revision, not since when it was in force, who sent it, or when the daemon last knew that there was none newer, and from whom.

Change: each confirmation keeps who gave it; the line has in_force_ms, from, confirmed_ms_ago and confirmed_by. No decision changes.

Test: TestProvenanceTellsWhoConfirmedTheRevision; without the change it doesn't build.

--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -84,6 +84,9 @@
 	callCheckInterval = 200 * clock.Millisecond
 )
 
+// originRegister names the register where a peer could stand.
+const originRegister = "register"
+
 // positionUnlisted is the position of a table whose rows have to be listed.
 const positionUnlisted = -1
 
@@ -115,6 +118,9 @@
 	// and configRow its row.
 	config    *inventory.Config
 	configRow Row
+	// configSince is when config came into force, and configFrom who sent it.
+	configSince clock.Millis
+	configFrom  string
 	// peerRevision is the revision in force at the peer that was last heard.
 	peerRevision int64
 	// unusableRevision is a revision of a peer that could not be decoded here, 0 for none.
@@ -265,6 +271,22 @@
 	return f.Clock.Now() - f.freshness[table].confirmedAt
 }
 
+// Provenance returns where the configuration in force comes from and how current it is.
+func (f *Follower) Provenance() (p inventory.Provenance) {
+	f.setup()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.config == nil {
+		return p
+	}
+	now := f.Clock.Now()
+	p = inventory.Provenance{Revision: f.config.Revision, From: f.configFrom, InForceMS: now - f.configSince}
+	if known := f.freshness[f.Tables.Config]; known.confirmedAt > 0 {
+		p.ConfirmedBy, p.ConfirmedMSAgo = known.confirmedBy, now-known.confirmedAt
+	}
+	return p
+}
+
 // knownEra returns the era of the register up to which all rows of a table are known.
 func (f *Follower) knownEra(table string) int64 {
 	f.mu.Lock()
@@ -297,7 +319,7 @@
 	}
 	f.mu.Lock()
 	f.lapses.noteSuccess(f.Clock.Now())
-	f.freshness[table].confirm(f.Clock.Now())
+	f.freshness[table].confirm(f.Clock.Now(), originRegister)
 	if f.unavailable[table] {
 		f.unavailable[table] = false
 		klog.InfoS("register answers again; reading continues", "table", table, "version", next)
@@ -311,7 +333,7 @@
 		changes = f.replica.ApplyFeed(table, rows, next)
 	}
 	f.trackLapses(changes)
-	f.applyChanges(changes, "register")
+	f.applyChanges(changes, originRegister)
 	f.mu.Unlock()
 	if len(changes) > 0 && f.Peers != nil {
 		f.Peers.Notify(ctx)
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -200,7 +200,7 @@
 // the rows that this daemon lacks.
 func (x *Exchanger) notifyPeer(ctx context.Context, address string) {
 	reply, err := x.call(ctx, address, syncTimeout, &wire.SyncRequest{Have: x.Follower.knownVersions(), OnlyTells: true})
-	x.Follower.noteConfirmations(reply.GetHave())
+	x.Follower.noteConfirmations(reply.GetHave(), address)
 	if err == nil && x.Follower.isBehind(reply.GetHave()) {
 		x.fetch(ctx, address)
 	}
@@ -220,7 +220,7 @@
 			continue
 		}
 		changed := x.Follower.applyReply(reply, address)
-		x.Follower.noteConfirmations(reply.GetHave())
+		x.Follower.noteConfirmations(reply.GetHave(), address)
 		if changed {
 			x.Notify(context.WithoutCancel(ctx))
 		}
@@ -300,7 +300,7 @@
 // Sync implements wire.DRPCFollowServer.
 func (s *server) Sync(ctx context.Context, in *wire.SyncRequest) (out *wire.SyncReply, err error) {
 	x := (*Exchanger)(s)
-	x.Follower.noteConfirmations(in.GetHave())
+	x.Follower.noteConfirmations(in.GetHave(), in.GetDaemon())
 	if x.Follower.isBehind(in.GetHave()) && in.GetPeerListen() != "" {
 		go x.fetch(context.WithoutCancel(ctx), in.GetPeerListen())
 	}
--- a/daemon/follower/publishing.go
+++ b/daemon/follower/publishing.go
@@ -84,6 +84,7 @@
 		return
 	}
 	f.config, f.configRow = config, row
+	f.configSince, f.configFrom = f.Clock.Now(), origin
 	logDisjointHomes(config)
 	klog.InfoS("configuration in force", "revision", config.Revision, "row_version", row.Version, "from", origin,
 		"routes", len(config.Routes), "organisations", len(config.Organisations))
--- a/daemon/follower/reading.go
+++ b/daemon/follower/reading.go
@@ -91,12 +91,18 @@
 type freshness struct {
 	// confirmedAt is the newest moment as of which all changes are known, 0 for none.
 	confirmedAt clock.Millis
+	// confirmedBy is who confirmed it: originRegister, or the name or address of a peer.
+	confirmedBy string
 	// newsAt is when a peer sent a change that was not known here, 0 for never.
 	newsAt clock.Millis
 }
 
 // confirm records that all changes until a moment are known.
-func (f *freshness) confirm(at clock.Millis) { f.confirmedAt = max(f.confirmedAt, at) }
+func (f *freshness) confirm(at clock.Millis, from string) {
+	if at > f.confirmedAt {
+		f.confirmedAt, f.confirmedBy = at, from
+	}
+}
 
 // isOverdue reports whether the last confirmation is older than a duty allows.
 func (f *freshness) isOverdue(now clock.Millis, duty Duty) bool {
--- a/daemon/follower/replies.go
+++ b/daemon/follower/replies.go
@@ -37,7 +37,7 @@
 
 // noteConfirmations takes over what a peer states: its revision, and the age of its rows, for
 // the tables of which it knows no newer change.
-func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion) {
+func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion, peer string) {
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -47,7 +47,7 @@
 		}
 		known, followed := f.freshness[v.GetTable()]
 		if followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
-			known.confirm(f.Clock.Now() - clock.Millis(v.GetConfirmedMsAgo()))
+			known.confirm(f.Clock.Now()-clock.Millis(v.GetConfirmedMsAgo()), peer)
 		}
 	}
 }
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -194,7 +194,7 @@
 	p.mu.Lock()
 	p.lastReplyAt = p.Follower.Clock.Now()
 	p.mu.Unlock()
-	p.Follower.noteConfirmations(have)
+	p.Follower.noteConfirmations(have, from.View.Self().Name)
 	if !p.Follower.isBehind(have) || ctx.Err() != nil {
 		return
 	}
@@ -213,7 +213,7 @@
 		return
 	}
 	changed := p.Follower.applyReply(reply, from.View.Self().Name)
-	p.Follower.noteConfirmations(reply.GetHave())
+	p.Follower.noteConfirmations(reply.GetHave(), from.View.Self().Name)
 	if changed {
 		p.Notify(ctx)
 	}
@@ -350,6 +350,26 @@
 	}
 }
 
+// TestProvenanceTellsWhoConfirmedTheRevision guards against a refusal whose log line can't tell
+// how current the revision was by which it was decided.
+func TestProvenanceTellsWhoConfirmedTheRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &silentRegister{}
+		r.put("c", "k", configOf(1))
+		fleet := startSilenceFleet(t, r, 20, 4000, func(string) bool { return false })
+		if p := fleet[0].Follower.Provenance(); p != (inventory.Provenance{}) {
+			t.Errorf("before a configuration is known: %+v", p)
+		}
+		time.Sleep(10 * time.Second)
+		for _, d := range fleet {
+			p := d.Follower.Provenance()
+			if p.Revision != 1 || p.From == "" || p.InForceMS < 9000 || p.ConfirmedBy == "" || p.ConfirmedMSAgo <= 0 || p.ConfirmedMSAgo > 10000 {
+				t.Errorf("%s: %+v", d.View.Self().Name, p)
+			}
+		}
+	})
+}
+
 // TestLeadsCostAFewCalls guards against reads that grow with the fleet: two leads ask for
 // changes of two tables each second, eight readers each twelve seconds.
 func TestLeadsCostAFewCalls(t *testing.T) {
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -221,7 +221,7 @@
 	}
 	ingress := &listener.Listener{
 		Source: params.Follower, Clock: params.Clock, Handler: params.Handler, Head: translator.ParseHead, Refuse: translator.WriteRefusal,
-		Memory: params.Memory,
+		Memory: params.Memory, Provenance: params.Follower.Provenance,
 	}
 	requestHandler := params.Drainer.Handler(refuseUnlessServing(params.Follower.Ready, params.Drainer.Closed, ingress))
 	metrics := http.NewServeMux()
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -53,6 +53,8 @@
 	// Head reads the head of a request of another API, whose routes name hosts; nil
 	// serves this API.
 	Head func(r *http.Request) classifier.Head
+	// Provenance returns that of the configuration in force; nil if it is not known.
+	Provenance func() inventory.Provenance
 	// Refuse writes refusals in the form of that API; nil writes problem documents.
 	Refuse func(w http.ResponseWriter, refusal *refuser.Refusal)
 
@@ -131,7 +133,7 @@
 	c := l.currentClassifier()
 	admission, err := c.Admit(head)
 	if err != nil {
-		klog.InfoS("request refused before its body was read", logger.KeyRequest, head.ID, "reason", err.Error(), "revision", c.Revision())
+		l.logEarlyRefusal(head.ID, err, c.Revision())
 		return err
 	}
 	w.organisation = admission.Organisation.Name
@@ -143,6 +145,16 @@
 	return l.handle(w, r, c.Complete(admission, head, body))
 }
 
+// logEarlyRefusal logs why a request was refused, by which revision, and how current that was.
+func (l *Listener) logEarlyRefusal(id string, err error, revision int64) {
+	var p inventory.Provenance
+	if l.Provenance != nil {
+		p = l.Provenance()
+	}
+	klog.InfoS("request refused before its body was read", logger.KeyRequest, id, "reason", err.Error(), "revision", revision,
+		"in_force_ms", p.InForceMS, "from", p.From, "confirmed_ms_ago", p.ConfirmedMSAgo, "confirmed_by", p.ConfirmedBy)
+}
+
 // handle adds the classification to the trace span and calls the handler.
 func (l *Listener) handle(w *trackingWriter, r *http.Request, req *classifier.Request) (err error) {
 	trace.SpanFromContext(r.Context()).SetAttributes(
