Show that sound daemons learn too late when all readers lost the register

TestDaemonsLearnInTimeWhenAllReadersLostTheRegister takes the register away from all readers and most others (no answer; an error at once; open calls lost) and checks all daemons within the apply bound of 2.5 or 4 s.

TestReadersCutOffWithoutAWordLeaveNoDaemonBehind waited maxConfirmationAge + overdueSpread + replyMargin, constants of the code that it checks: 10 s and more.

--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -344,7 +344,7 @@
 			time.Sleep(100 * time.Millisecond)
 			r.setSilent(false)
 			r.put("c", "k", configOf(2))
-			time.Sleep((maxConfirmationAge(count, 4000) + overdueSpread + replyMargin).Duration())
+			time.Sleep(4 * time.Second)
 			checkInForce(t, fleet, 2)
 		})
 	}
--- /dev/null
+++ b/daemon/follower/unconfirmed_test.go
@@ -0,0 +1,143 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yuccaspread/common/clock"
+)
+
+// pathState is the state of a daemon's path to the register.
+type pathState int
+
+const (
+	pathSound pathState = iota
+	// pathSilent answers nothing.
+	pathSilent
+	// pathRefused fails each call at once.
+	pathRefused
+	// pathStuck fails calls that had begun before it, without a word, and is sound for others.
+	pathStuck
+)
+
+// paths holds the state of the path of each daemon, by name.
+type paths struct {
+	mu     sync.Mutex
+	states map[string]pathState
+}
+
+func (p *paths) get(name string) pathState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.states[name]
+}
+
+func (p *paths) set(name string, state pathState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states[name] = state
+}
+
+// pathRegister is the register at the end of a daemon's path.
+type pathRegister struct {
+	registerLink
+
+	state func() pathState
+}
+
+var errPathRefused = errors.New("refused")
+
+// call calls the register, and loses or refuses the reply as the path says.
+func (r pathRegister) call(ctx context.Context, call func(ctx context.Context) error) error {
+	begun := r.state()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for clock.Sleep(ctx, 10*clock.Millisecond) {
+			if r.state() == pathRefused {
+				cancel(errPathRefused)
+			}
+		}
+	}()
+	err := call(ctx)
+	switch {
+	case r.state() == pathRefused:
+		return errPathRefused
+	case r.state() == pathStuck && begun != pathStuck:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (r pathRegister) List(ctx context.Context, table string) (rows []Row, version Version, err error) {
+	err = r.call(ctx, func(ctx context.Context) (err error) {
+		rows, version, err = r.registerLink.List(ctx, table)
+		return err
+	})
+	return rows, version, err
+}
+
+func (r pathRegister) Changes(ctx context.Context, table string, after Version, wait clock.Millis) (rows []Row, version Version, err error) {
+	err = r.call(ctx, func(ctx context.Context) (err error) {
+		rows, version, err = r.registerLink.Changes(ctx, table, after, wait)
+		return err
+	})
+	return rows, version, err
+}
+
+// startFleetWithPaths runs count followers of a register until the test ends.
+func startFleetWithPaths(t *testing.T, r *silentRegister, count int, applyBound clock.Millis) (fleet []*loopPeers, p *paths) {
+	t.Helper()
+	p = &paths{states: map[string]pathState{}}
+	fleet = startFleet(t, count, applyBound, func(name string) Register {
+		state := func() pathState { return p.get(name) }
+		return pathRegister{registerLink{silentRegister: r, cut: func() bool { return state() == pathSilent }}, state}
+	})
+	return fleet, p
+}
+
+// TestDaemonsLearnInTimeWhenAllReadersLostTheRegister guards against a change that is late at
+// daemons with a sound path to the register, because those that read it for all have lost theirs.
+func TestDaemonsLearnInTimeWhenAllReadersLostTheRegister(t *testing.T) {
+	for count, applyBound := range map[int]clock.Millis{9: 2500, 66: 4000, 80: 2500, 195: 4000, 300: 4000} {
+		for name, state := range map[string]pathState{"silent": pathSilent, "refused": pathRefused, "stuck": pathStuck} {
+			t.Run(fmt.Sprintf("%d daemons, readers %s", count, name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(uint64(count), uint64(state)))
+					r := &silentRegister{}
+					r.put("c", "k", configOf(1))
+					r.put("u", "u1", `{"address":"a","pool":"p","slots":1}`)
+					fleet, paths := startFleetWithPaths(t, r, count, applyBound)
+					time.Sleep(time.Duration(5_000+random.IntN(10_000)) * time.Millisecond)
+					// Of the others all but a few lose their paths too.
+					last := random.IntN(count)
+					for i, d := range fleet {
+						if d.Duty().Role != Idle && (count > readerCount || d.Duty().Role == Lead) || (i != last && random.IntN(10) > 0) {
+							paths.set(d.View.Self().Name, state)
+						}
+					}
+					time.Sleep(time.Duration(random.IntN(3_000)) * time.Millisecond)
+					for revision := 2; revision < 5; revision++ {
+						r.put("c", "k", configOf(revision))
+						r.put("u", "u1", fmt.Sprintf(`{"address":"a","pool":"p","slots":%d,"leaving":true}`, revision))
+						time.Sleep(applyBound.Duration())
+						checkInForce(t, fleet, int64(revision))
+						for _, d := range fleet {
+							if u := d.Follower.Current().Upstreams; len(u) != 1 || u[0].Slots != revision {
+								t.Errorf("%s has upstreams %+v", d.View.Self().Name, u)
+							}
+						}
+					}
+				})
+			})
+		}
+	}
+}
