Read the register within the apply bound unless peers confirm the known rows

Cause: at most ten daemons read the register. The others read by themselves once no peer had confirmed their rows for the leads' 2.7 s and 10 syncs of 0.7 s, by then 9.7 s at 66 daemons, with a promise of 4 s. That age came from how slowly confirmations spread, not from the promise. The log line of a refused request showed it: confirmed 5,549 ms ago.

Change: the age from which a daemon reads is 55 % of the apply bound, later by up to 15 % by its name; it then reads with the short timing of a lead. The first daemon that reads by itself does the same and so spares the others the call. confirmed_by now names who read the register. Without apply_bound 30 s stand for it, with the timing of before. Choosing readers no longer sorts all members for each check.

The tests' fleets now run the real Exchanger over a transport in memory instead of a copy of it. TestLeadsCostAFewCalls and TestNewsOfUpstreamsStaySmall hold unchanged.

Whether the users' reports had other causes is open.

--- a/daemon/follower/evacuations_test.go
+++ b/daemon/follower/evacuations_test.go
@@ -124,7 +124,7 @@
 	running, started := newFollower(), newFollower()
 	rows := []Row{{Table: "c", Key: "k", Value: []byte(regionsConfig), Version: 1}, {Table: "c", Key: "evacuation/z2", Value: []byte("{}"), Version: 2}}
 	running.applyChanges(running.replica.ApplyListing("c", slices.Clone(rows), 2), "register")
-	started.noteConfirmations(running.knownVersions(), "peer")
+	started.noteConfirmations(running.knownVersions())
 	started.applyReply(running.buildReply(&wire.SyncRequest{Have: started.requestedVersions()}), "peer")
 	if got := evacuatedOf(started.Current()); !started.Ready() || got != "[z2]" {
 		t.Errorf("ready %t with %s evacuated, want [z2]", started.Ready(), got)
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -78,7 +78,7 @@
 	batchPause = 150 * clock.Millisecond
 	// idleCheckInterval is the time between two checks whether a daemon that
 	// doesn't read the register has to.
-	idleCheckInterval = 300 * clock.Millisecond
+	idleCheckInterval = 200 * clock.Millisecond
 	// callCheckInterval is the time between two checks whether a call that waits for
 	// changes has to end before its time.
 	callCheckInterval = 200 * clock.Millisecond
@@ -97,13 +97,16 @@
 	Decoder  Decoder
 	Tables   Tables
 	Clock    clock.Clock
+	// Name is that of this daemon.
+	Name string
 	// Peers exchanges rows with other daemons; nil for none.
 	Peers Peers
 	// Duty returns this daemon's part in reading the register once it knows a
 	// configuration; nil means that of a reader.
 	Duty func() Duty
 	// ApplyBound is the time within which an acknowledged change has to be in force on
-	// all daemons; 0 for no bound. Calls of a lead are given up within it.
+	// all daemons; 0 stands for 30 seconds. A daemon reads the register itself within it
+	// unless its peers confirm that there is no change.
 	ApplyBound clock.Millis
 	// Registerer registers the metrics; nil for none.
 	Registerer prometheus.Registerer
@@ -216,8 +219,11 @@
 			position = f.knownPosition(table)
 			continue
 		}
-		timing := newCallTiming(duty.Role, f.ApplyBound)
-		if failed || duty.Role == Idle {
+		timing, isOverdue := newCallTiming(duty.Role, f.ApplyBound), f.isOverdue(table, duty)
+		if isOverdue {
+			timing = newCallTiming(Lead, f.ApplyBound)
+		}
+		if isOverdue || failed || duty.Role == Idle {
 			timing.wait = probeWait
 		}
 		next, hasRows, err := f.readOnce(ctx, table, position, timing)
@@ -253,9 +259,9 @@
 	if duty.Role != Idle || !f.Ready() {
 		return true
 	}
+	overdue := f.isOverdue(table, duty)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	overdue := f.freshness[table].isOverdue(f.Clock.Now(), duty)
 	if overdue && !f.unavailable[table] {
 		klog.InfoS("no peer has confirmed the known rows for too long; reading the register", "table", table,
 			"confirmed_ms_ago", f.Clock.Now()-f.freshness[table].confirmedAt, "version", f.replica.CompleteVersion(table))
@@ -263,6 +269,14 @@
 	return overdue
 }
 
+// isOverdue reports whether nobody has confirmed the known rows of a table for longer than a duty
+// allows.
+func (f *Follower) isOverdue(table string, duty Duty) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.freshness[table].isOverdue(f.Clock.Now(), duty)
+}
+
 // confirmedAge returns the age of the last confirmation that the rows of a table are
 // current.
 func (f *Follower) confirmedAge(table string) clock.Millis {
@@ -319,7 +333,8 @@
 	}
 	f.mu.Lock()
 	f.lapses.noteSuccess(f.Clock.Now())
-	f.freshness[table].confirm(f.Clock.Now(), originRegister)
+	f.freshness[table].confirm(f.Clock.Now(), f.Name)
+	isRelayed := f.freshness[table].beginRelay(f.ApplyBound)
 	if f.unavailable[table] {
 		f.unavailable[table] = false
 		klog.InfoS("register answers again; reading continues", "table", table, "version", next)
@@ -338,6 +353,9 @@
 	if len(changes) > 0 && f.Peers != nil {
 		f.Peers.Notify(ctx)
 	}
+	if isRelayed && f.Peers != nil {
+		f.Peers.Relay(ctx)
+	}
 	return next, len(rows) > 0, nil
 }
 
--- a/daemon/follower/follower_test.go
+++ b/daemon/follower/follower_test.go
@@ -249,6 +249,7 @@
 
 func (*countingPeers) SyncOne(context.Context)  {}
 func (p *countingPeers) Notify(context.Context) { p.notifications.Add(1) }
+func (*countingPeers) Relay(context.Context)    {}
 
 // TestRenewalsDoNotNotifyPeers guards against traffic between daemons, and new
 // configurations, for renewals that change nothing else.
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +23,8 @@
 	SyncOne(ctx context.Context)
 	// Notify notifies some random peers of new versions.
 	Notify(ctx context.Context)
+	// Relay tells all peers, over each other, what this daemon has learned from the register.
+	Relay(ctx context.Context)
 }
 
 const (
@@ -65,6 +66,9 @@
 	fetchStartedAt clock.Millis
 	// lastReplyAt is when a peer answered last.
 	lastReplyAt clock.Millis
+	relays      relayQueue
+	// transport carries calls to peers; nil stands for drpc.
+	transport func(ctx context.Context, address string, in *wire.SyncRequest) (reply *wire.SyncReply, err error)
 }
 
 // Selection of the daemons that read the register. If all daemons of a large fleet
@@ -79,14 +83,6 @@
 	// isolationTimeout is the time without a reply of any peer after which a daemon
 	// reads the register itself.
 	isolationTimeout = 1500 * clock.Millisecond
-	// confirmationRounds is the number of syncs, beyond the binary logarithm of the
-	// fleet's size, within which a confirmation reaches every daemon.
-	confirmationRounds = 3
-	// overdueSpread is the time over which daemons of a large fleet start to read by
-	// themselves, each after overdueSpacing more than another on average, so that the
-	// first can tell the others.
-	overdueSpread  = 2 * clock.Second
-	overdueSpacing = 20 * clock.Millisecond
 )
 
 // Duty returns the part of this daemon in reading the register: the readers are the
@@ -94,12 +90,6 @@
 // of them, in different failure domains. A daemon that no peer has answered for
 // isolationTimeout reads too. Daemons with the same members choose the same readers.
 func (x *Exchanger) Duty() (d Duty) {
-	var alive []gossiper.Member
-	for _, m := range x.View.Members() {
-		if m.State == gossiper.Alive {
-			alive = append(alive, m)
-		}
-	}
 	x.mu.Lock()
 	lastReplyAt := x.lastReplyAt
 	x.mu.Unlock()
@@ -107,21 +97,32 @@
 	if x.Follower.Clock.Now()-lastReplyAt > isolationTimeout {
 		return Duty{Role: Lead}
 	}
-	d.MaxAge = maxConfirmationAge(len(alive), x.Follower.ApplyBound)
-	d.MaxAge += overdueDelay(self.Name, len(alive))
-	slices.SortFunc(alive, func(a, b gossiper.Member) int {
-		return cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name))
-	})
-	rank := slices.IndexFunc(alive, func(m gossiper.Member) bool { return m.Name == self.Name })
+	d.MaxAge = maxConfirmationAge(self.Name, x.Follower.ApplyBound)
+	readers := chooseReaders(x.View.Members())
 	switch {
-	case slices.Contains(leads(alive), self.Name):
+	case slices.Contains(leads(readers), self.Name):
 		d.Role = Lead
-	case rank >= readerCount:
+	case !slices.ContainsFunc(readers, func(m gossiper.Member) bool { return m.Name == self.Name }):
 		d.Role = Idle
 	}
 	return d
 }
 
+// chooseReaders returns the readers among members, in the order of their ranks.
+func chooseReaders(members []gossiper.Member) (readers []gossiper.Member) {
+	var ranked []rankedMember
+	for i := range members {
+		if members[i].State == gossiper.Alive {
+			ranked = append(ranked, rankedMember{^xxhash.Sum64String(members[i].Name), i})
+		}
+	}
+	sortByRank(ranked)
+	for _, r := range ranked[:min(len(ranked), readerCount)] {
+		readers = append(readers, members[r.index])
+	}
+	return readers
+}
+
 // leads returns the names of the leads among members in the order of their ranks.
 func leads(members []gossiper.Member) (names []string) {
 	domains := map[string]bool{}
@@ -139,18 +140,12 @@
 	return names
 }
 
-// maxConfirmationAge returns the age that a confirmation may have in a fleet whose leads
-// reach the register.
-func maxConfirmationAge(members int, applyBound clock.Millis) clock.Millis {
-	timing := newCallTiming(Lead, applyBound)
-	rounds := clock.Millis(confirmationRounds + bits.Len(uint(members)))
-	return timing.wait + timing.margin + rounds*syncInterval
-}
-
-// overdueDelay returns how much longer than others a daemon waits for a confirmation.
-func overdueDelay(name string, members int) clock.Millis {
-	spread := min(clock.Millis(members)*overdueSpacing, overdueSpread)
-	return clock.Millis(xxhash.Sum64String(name) % uint64(spread+1))
+// maxConfirmationAge returns the age of a confirmation from which the daemon with a name reads
+// the register itself.
+func maxConfirmationAge(name string, applyBound clock.Millis) clock.Millis {
+	applyBound = cmp.Or(applyBound, defaultApplyBound)
+	spread := applyBound * overdueSpreadPercent / percent
+	return applyBound*maxAgePercent/percent + clock.Millis(xxhash.Sum64String(name)%uint64(spread+1))
 }
 
 // SyncOne implements Peers.
@@ -163,7 +158,7 @@
 // Notify implements Peers.
 func (x *Exchanger) Notify(ctx context.Context) {
 	for _, m := range x.randomPeers(notifiedPeers) {
-		go x.notifyPeer(ctx, m.PeerListen)
+		go x.notifyPeer(ctx, m.PeerListen, "")
 	}
 }
 
@@ -198,9 +193,9 @@
 
 // notifyPeer sends the versions known here to the peer at an address and fetches
 // the rows that this daemon lacks.
-func (x *Exchanger) notifyPeer(ctx context.Context, address string) {
-	reply, err := x.call(ctx, address, syncTimeout, &wire.SyncRequest{Have: x.Follower.knownVersions(), OnlyTells: true})
-	x.Follower.noteConfirmations(reply.GetHave(), address)
+func (x *Exchanger) notifyPeer(ctx context.Context, address, relayRoot string) {
+	reply, err := x.call(ctx, address, syncTimeout, &wire.SyncRequest{Have: x.Follower.knownVersions(), OnlyTells: true, RelayRoot: relayRoot})
+	x.Follower.noteConfirmations(reply.GetHave())
 	if err == nil && x.Follower.isBehind(reply.GetHave()) {
 		x.fetch(ctx, address)
 	}
@@ -214,16 +209,17 @@
 		if !x.beginFetch(address) {
 			return
 		}
-		have := x.Follower.requestedVersions()
+		have, relays := x.Follower.requestedVersions(), x.takeQueuedRelays()
 		reply, err := x.call(ctx, address, fetchTimeout(have), &wire.SyncRequest{Have: have, AcceptsPacked: true})
 		if err != nil {
 			continue
 		}
 		changed := x.Follower.applyReply(reply, address)
-		x.Follower.noteConfirmations(reply.GetHave(), address)
+		x.Follower.noteConfirmations(reply.GetHave())
 		if changed {
 			x.Notify(context.WithoutCancel(ctx))
 		}
+		x.relayQueued(context.WithoutCancel(ctx), relays)
 		if len(reply.GetRows()) >= maxReplyRows && len(reply.GetWhole()) == 0 {
 			x.queueFetch(address)
 		}
@@ -252,11 +248,13 @@
 func (x *Exchanger) call(ctx context.Context, address string, timeout clock.Millis, in *wire.SyncRequest) (reply *wire.SyncReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	conn := x.Connector.PooledConn(ctx, address)
-	defer func() { _ = conn.Close() }()
 	self := x.View.Self()
 	in.Daemon, in.PeerListen = self.Name, self.PeerListen
-	reply, err = wire.NewDRPCFollowClient(conn).Sync(ctx, in)
+	if x.transport != nil {
+		reply, err = x.transport(ctx, address, in)
+	} else {
+		reply, err = x.callOverDRPC(ctx, address, in)
+	}
 	if err != nil {
 		klog.V(1).InfoS("sync with peer failed", "peer", address, "error", err.Error())
 		return nil, err
@@ -267,6 +265,12 @@
 	return reply, nil
 }
 
+func (x *Exchanger) callOverDRPC(ctx context.Context, address string, in *wire.SyncRequest) (reply *wire.SyncReply, err error) {
+	conn := x.Connector.PooledConn(ctx, address)
+	defer func() { _ = conn.Close() }()
+	return wire.NewDRPCFollowClient(conn).Sync(ctx, in)
+}
+
 // beginFetch reports whether a fetch from an address may start now; otherwise it
 // queues the address.
 func (x *Exchanger) beginFetch(address string) bool {
@@ -300,9 +304,12 @@
 // Sync implements wire.DRPCFollowServer.
 func (s *server) Sync(ctx context.Context, in *wire.SyncRequest) (out *wire.SyncReply, err error) {
 	x := (*Exchanger)(s)
-	x.Follower.noteConfirmations(in.GetHave(), in.GetDaemon())
+	x.Follower.noteConfirmations(in.GetHave())
+	x.queueRelay(in.GetRelayRoot())
 	if x.Follower.isBehind(in.GetHave()) && in.GetPeerListen() != "" {
 		go x.fetch(context.WithoutCancel(ctx), in.GetPeerListen())
+	} else {
+		x.relayQueued(context.WithoutCancel(ctx), x.takeQueuedRelays())
 	}
 	if in.GetOnlyTells() {
 		return &wire.SyncReply{Have: x.Follower.knownVersions()}, nil
--- a/daemon/follower/reading.go
+++ b/daemon/follower/reading.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"errors"
 
 	"yuccaspread/common/clock"
@@ -49,18 +50,36 @@
 	leadPausePercent  = 24
 )
 
+// Parts of the apply bound, in percent, after which a daemon reads the register itself because
+// nobody has confirmed what it knows. What is left of the bound is for its own call.
+const (
+	// maxAgePercent is the age of a confirmation up to which no daemon reads by itself: that
+	// of a lead, which comes each leadWaitPercent, and the time to pass it on.
+	maxAgePercent = 55
+	// overdueSpreadPercent is the time over which daemons start to read by themselves, so that
+	// the first can tell the others.
+	overdueSpreadPercent = 15
+	// relayStepPercent is how much newer than the last relayed confirmation another one has to
+	// be to be relayed.
+	relayStepPercent = 20
+)
+
+// defaultApplyBound stands for an apply bound that is not set. The timing of a lead is that of
+// a reader then.
+const defaultApplyBound = 30 * clock.Second
+
 // readerTiming is the timing of a daemon that is not a lead.
 func readerTiming() callTiming {
 	return callTiming{wait: changesWait, margin: replyMargin, maxPause: maxRetryPause}
 }
 
-// newCallTiming returns the timing for a role. Without an apply bound all roles have the
-// timing of a reader.
+// newCallTiming returns the timing for a role.
 func newCallTiming(role Role, applyBound clock.Millis) callTiming {
 	timing := readerTiming()
-	if role != Lead || applyBound == 0 {
+	if role != Lead {
 		return timing
 	}
+	applyBound = cmp.Or(applyBound, defaultApplyBound)
 	return callTiming{
 		wait:     min(applyBound*leadWaitPercent/percent, timing.wait),
 		margin:   min(applyBound*leadMarginPercent/percent, timing.margin),
@@ -91,17 +110,30 @@
 type freshness struct {
 	// confirmedAt is the newest moment as of which all changes are known, 0 for none.
 	confirmedAt clock.Millis
-	// confirmedBy is who confirmed it: originRegister, or the name or address of a peer.
+	// confirmedBy names the daemon that learned this from the register.
 	confirmedBy string
+	// relayedAt is the newest confirmedAt that has been relayed to the fleet, as far as known here.
+	relayedAt clock.Millis
 	// newsAt is when a peer sent a change that was not known here, 0 for never.
 	newsAt clock.Millis
 }
 
-// confirm records that all changes until a moment are known.
-func (f *freshness) confirm(at clock.Millis, from string) {
+// confirm records that all changes until a moment are known, by the word of a daemon that read
+// the register.
+func (f *freshness) confirm(at clock.Millis, by string) {
 	if at > f.confirmedAt {
-		f.confirmedAt, f.confirmedBy = at, from
+		f.confirmedAt, f.confirmedBy = at, by
+	}
+}
+
+// beginRelay reports whether the confirmation is so much newer than what has been relayed that
+// it has to be relayed too, and counts it as relayed then.
+func (f *freshness) beginRelay(applyBound clock.Millis) bool {
+	if f.confirmedAt-f.relayedAt < cmp.Or(applyBound, defaultApplyBound)*relayStepPercent/percent {
+		return false
 	}
+	f.relayedAt = f.confirmedAt
+	return true
 }
 
 // isOverdue reports whether the last confirmation is older than a duty allows.
--- a/daemon/follower/replies.go
+++ b/daemon/follower/replies.go
@@ -17,7 +17,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, table := range []string{f.Tables.Config, f.Tables.Upstreams} {
-		have = append(have, &wire.TableVersion{Table: table, Version: int64(f.settledVersion(table)), ConfirmedMsAgo: f.confirmedMSAgo(table)})
+		have = append(have, &wire.TableVersion{Table: table, Version: int64(f.settledVersion(table)), ConfirmedMsAgo: f.confirmedMSAgo(table), ConfirmedBy: f.freshness[table].confirmedBy})
 	}
 	if f.config != nil {
 		have[0].Revision = f.config.Revision
@@ -37,7 +37,7 @@
 
 // noteConfirmations takes over what a peer states: its revision, and the age of its rows, for
 // the tables of which it knows no newer change.
-func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion, peer string) {
+func (f *Follower) noteConfirmations(peerVersions []*wire.TableVersion) {
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -47,11 +47,24 @@
 		}
 		known, followed := f.freshness[v.GetTable()]
 		if followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
-			known.confirm(f.Clock.Now()-clock.Millis(v.GetConfirmedMsAgo()), peer)
+			known.confirm(f.Clock.Now()-clock.Millis(v.GetConfirmedMsAgo()), v.GetConfirmedBy())
 		}
 	}
 }
 
+// noteRelay records that what is confirmed here is being relayed, and returns the newest moment
+// of it.
+func (f *Follower) noteRelay() (newest clock.Millis) {
+	f.setup()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, known := range f.freshness {
+		known.relayedAt = known.confirmedAt
+		newest = max(newest, known.confirmedAt)
+	}
+	return newest
+}
+
 // settledVersion returns the version up to which all rows of a table may be sent to
 // peers: a row that may only have lapsed is not sent as removed. It is called with
 // mu held.
--- a/daemon/follower/restore_test.go
+++ b/daemon/follower/restore_test.go
@@ -436,7 +436,7 @@
 			list(running, 8, 2, 9)
 		}
 		for range 2 {
-			started.noteConfirmations(running.knownVersions(), "peer")
+			started.noteConfirmations(running.knownVersions())
 			if !started.isBehind(running.knownVersions()) {
 				break
 			}
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -157,11 +157,12 @@
 
 func (wallClock) Now() clock.Millis { return clock.FromTime(time.Now()) }
 
-// loopPeers exchanges rows between the followers of a test as Exchanger does over drpc.
+// loopPeers connects the followers of a test.
 type loopPeers struct {
 	*Exchanger
 
-	fleet []*loopPeers
+	// fleet holds all daemons, by their addresses.
+	fleet map[string]*loopPeers
 	// link is that of the daemon's VM, nil for one without a bound.
 	link *slowLink
 	// received is the sum of the bytes of the replies.
@@ -170,53 +171,19 @@
 
 const testCallTime = 5 * time.Millisecond
 
-func (p *loopPeers) SyncOne(ctx context.Context) { p.exchangeWith(ctx, 1) }
-func (p *loopPeers) Notify(ctx context.Context)  { p.exchangeWith(ctx, notifiedPeers) }
-
-func (p *loopPeers) exchangeWith(ctx context.Context, count int) {
-	for _, m := range p.randomPeers(count) {
-		index := slices.IndexFunc(p.fleet, func(q *loopPeers) bool { return q.View.Self().Name == m.Name })
-		go p.exchange(ctx, p.fleet[index])
-	}
-}
-
-func (p *loopPeers) exchange(ctx context.Context, q *loopPeers) {
-	have := p.Follower.knownVersions()
-	time.Sleep(testCallTime)
-	q.take(ctx, p, have)
-	have = q.Follower.knownVersions()
+// carry is the transport of a daemon's calls to its peers.
+func (p *loopPeers) carry(ctx context.Context, address string, in *wire.SyncRequest) (reply *wire.SyncReply, err error) {
+	peer := p.fleet[address]
 	time.Sleep(testCallTime)
-	p.take(ctx, q, have)
-}
-
-// take handles the versions that a peer has stated.
-func (p *loopPeers) take(ctx context.Context, from *loopPeers, have []*wire.TableVersion) {
-	p.mu.Lock()
-	p.lastReplyAt = p.Follower.Clock.Now()
-	p.mu.Unlock()
-	p.Follower.noteConfirmations(have, from.View.Self().Name)
-	if !p.Follower.isBehind(have) || ctx.Err() != nil {
-		return
-	}
-	requested, begun := p.Follower.requestedVersions(), time.Now()
-	timeout := fetchTimeout(requested)
-	reply, err := from.Follower.reply(&wire.SyncRequest{Have: requested, AcceptsPacked: true})
-	if err != nil {
-		return
+	if reply, err = (*server)(peer.Exchanger).Sync(ctx, in); err != nil {
+		return nil, err
 	}
 	size := proto.Size(reply)
 	p.received.Add(int64(size))
-	from.link.transfer(size)
+	peer.link.transfer(size)
 	p.link.transfer(size)
 	time.Sleep(testCallTime)
-	if time.Since(begun) > timeout.Duration() {
-		return
-	}
-	changed := p.Follower.applyReply(reply, from.View.Self().Name)
-	p.Follower.noteConfirmations(reply.GetHave(), from.View.Self().Name)
-	if changed {
-		p.Notify(ctx)
-	}
+	return reply, ctx.Err()
 }
 
 // startSilenceFleet runs count followers of a register until the test ends. cut reports
@@ -236,6 +203,7 @@
 	for i := range count {
 		members = append(members, gossiper.Member{
 			Name: fmt.Sprintf("d%d", i), Region: fmt.Sprint(i % 3), FailureDomain: fmt.Sprint(i % 3), State: gossiper.Alive,
+			PeerListen: fmt.Sprintf("d%d:1", i),
 		})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -244,15 +212,17 @@
 		view := append(fakeView{self}, members[:i]...)
 		view = append(view, members[i+1:]...)
 		f := &Follower{
-			Register: register(self.Name), Decoder: testDecoder{}, Clock: wallClock{}, ApplyBound: applyBound,
+			Name: self.Name, Register: register(self.Name), Decoder: testDecoder{}, Clock: wallClock{}, ApplyBound: applyBound,
 			Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "u"},
 		}
 		p := &loopPeers{Exchanger: &Exchanger{Follower: f, View: view}}
+		p.transport = p.carry
 		f.Peers, f.Duty = p, p.Duty
 		fleet = append(fleet, p)
 	}
+	byAddress := map[string]*loopPeers{}
 	for _, p := range fleet {
-		p.fleet = fleet
+		p.fleet, byAddress[p.View.Self().PeerListen] = byAddress, p
 	}
 	for _, p := range fleet {
 		running.Go(func() { p.Follower.Run(ctx) })
--- a/daemon/follower/unconfirmed_test.go
+++ b/daemon/follower/unconfirmed_test.go
@@ -17,9 +17,8 @@
 type pathState int
 
 const (
-	pathSound pathState = iota
-	// pathSilent answers nothing.
-	pathSilent
+	// pathSilent answers nothing. The zero value is a sound path.
+	pathSilent pathState = iota + 1
 	// pathRefused fails each call at once.
 	pathRefused
 	// pathStuck fails calls that had begun before it, without a word, and is sound for others.
--- a/daemon/hosted.go
+++ b/daemon/hosted.go
@@ -96,7 +96,7 @@
 	hosted := params.Settings.Hosted
 	register := fetcher.New(registerURL.Host)
 	f := &follower.Follower{
-		Register: register, Tables: parser.Tables(), Clock: params.Clock, Registerer: params.Registerer,
+		Name: params.Settings.Name, Register: register, Tables: parser.Tables(), Clock: params.Clock, Registerer: params.Registerer,
 		Decoder: &parser.Parser{
 			RegionByZone: hosted.Regions, RetryShare: hosted.RetryShare, AddressLifetime: hosted.AddressLifetimeMS,
 			CrossRegionBytes: hosted.CrossRegionBytes, ColdExcess: hosted.ColdExcess, ColdSlack: hosted.ColdSlack,
