Believe no age of a confirmation that a standstill may have outdated

Cause: an empty reply of the register counted as of when it was read, not of when it was sent, and a reply with changes as of now. A daemon that stood still (stopped or suspended) took an old reply, or an old message of a peer, for news, kept ages that don't count the time of a suspension, and told all that to its peers, which then wait longer than the promise while no reader reaches the register.

Change: a reply without changes counts as of the end of its wait at the latest, one with changes and a listing as of the start of the call; the next call of a lead is shorter instead. A daemon notices by the boot time clock that it stood still for a tenth of the apply bound, drops its confirmations, believes no age that peers state for 0.5 s, and reads the register itself. Relays are compared by table: two confirmations of one root within 100 ms passed only one on, which TestLeadsCostAFewCalls showed once the calls of both tables ended together.

Tests: TestReplyThatIsReadLateConfirmsNothingLater and TestNothingIsConfirmedAfterAStandstill fail on a copy without the two rules.

Conclusion: the age that a daemon acts on is never younger than its state by more than a message's way.

--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -129,7 +129,10 @@
 	// unusableRevision is a revision of a peer that could not be decoded here, 0 for none.
 	unusableRevision int64
 	lapses           lapseTracker
-	packer           rowPacker
+	standstill       standstillWatch
+	// bootTime reads a clock that goes on while the VM is suspended.
+	bootTime func() clock.Millis
+	packer   rowPacker
 	// evacuations holds the evacuated failure domains, by row key.
 	evacuations map[string]evacuation
 	// decodedUpstreams caches the decoded rows of upstreams, by key.
@@ -173,6 +176,9 @@
 		return
 	}
 	f.replica = NewReplica()
+	if f.bootTime == nil {
+		f.bootTime = clock.BootTime
+	}
 	f.packer.packer = packer.New(gzip.BestSpeed)
 	f.replica.Equivalent, f.replica.Outdated = f.equivalentRows, f.isOutdated
 	f.decodedUpstreams = map[string]decodedUpstream{}
@@ -190,6 +196,7 @@
 		loops.Go(func() { f.followTable(ctx, table) })
 	}
 	loops.Go(func() { f.runPeriodicSync(ctx) })
+	loops.Go(func() { f.watchStandstills(ctx) })
 	loops.Wait()
 }
 
@@ -223,8 +230,12 @@
 		if isOverdue {
 			timing = newCallTiming(Lead, f.ApplyBound)
 		}
-		if isOverdue || failed || duty.Role == Idle {
+		switch {
+		case isOverdue || failed || duty.Role == Idle:
 			timing.wait = probeWait
+		case duty.Role == Lead:
+			// A reply with changes confirms less than one without; the next call makes up for it.
+			timing.wait = max(timing.wait-f.confirmedAge(table), probeWait)
 		}
 		next, hasRows, err := f.readOnce(ctx, table, position, timing)
 		switch {
@@ -323,6 +334,7 @@
 // position.
 func (f *Follower) readOnce(ctx context.Context, table string, position Version, timing callTiming) (next Version, hasRows bool, err error) {
 	var rows []Row
+	startedAt, standstills := f.beginRead()
 	if position == positionUnlisted {
 		rows, next, err = f.Register.List(ctx, table)
 	} else {
@@ -333,7 +345,11 @@
 	}
 	f.mu.Lock()
 	f.lapses.noteSuccess(f.Clock.Now())
-	f.freshness[table].confirm(f.Clock.Now(), f.Name)
+	f.checkStandstill()
+	if f.standstill.count == standstills {
+		hasWaited := position != positionUnlisted && len(rows) == 0
+		f.freshness[table].confirm(replySentAt(startedAt, f.Clock.Now(), timing.wait, hasWaited), f.Name)
+	}
 	isRelayed := f.freshness[table].beginRelay(f.ApplyBound)
 	if f.unavailable[table] {
 		f.unavailable[table] = false
@@ -359,6 +375,14 @@
 	return next, len(rows) > 0, nil
 }
 
+// beginRead returns the time, and the number of standstills so far.
+func (f *Follower) beginRead() (now clock.Millis, standstills int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkStandstill()
+	return f.Clock.Now(), f.standstill.count
+}
+
 // logIgnoredRows logs the rows of the register that say something else than what is known and
 // are not taken, because what is known has a version that is not lower. It is called with mu
 // held.
--- a/daemon/follower/peers.go
+++ b/daemon/follower/peers.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -143,9 +142,8 @@
 // maxConfirmationAge returns the age of a confirmation from which the daemon with a name reads
 // the register itself.
 func maxConfirmationAge(name string, applyBound clock.Millis) clock.Millis {
-	applyBound = cmp.Or(applyBound, defaultApplyBound)
-	spread := applyBound * overdueSpreadPercent / percent
-	return applyBound*maxAgePercent/percent + clock.Millis(xxhash.Sum64String(name)%uint64(spread+1))
+	spread := partOf(applyBound, overdueSpreadPercent)
+	return partOf(applyBound, maxAgePercent) + clock.Millis(xxhash.Sum64String(name)%uint64(spread+1))
 }
 
 // SyncOne implements Peers.
--- a/daemon/follower/peers_test.go
+++ b/daemon/follower/peers_test.go
@@ -14,7 +14,8 @@
 
 // newIdleFollower returns a follower of table t that does not run.
 func newIdleFollower() *Follower {
-	f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "t"}, Clock: &manualClock{}}
+	testClock := &manualClock{}
+	f := &Follower{Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "t"}, Clock: testClock, bootTime: testClock.Now}
 	f.setup()
 	f.replica.Equivalent = sameContent
 	return f
--- a/daemon/follower/reading.go
+++ b/daemon/follower/reading.go
@@ -62,8 +62,20 @@
 	// relayStepPercent is how much newer than the last relayed confirmation another one has to
 	// be to be relayed.
 	relayStepPercent = 20
+	// standstillPercent is how long a process may stand still until what it knows counts as
+	// unconfirmed.
+	standstillPercent = 10
 )
 
+// replySentAt returns the earliest time at which a reply of the register may have been sent. It
+// may have been on its way, or unread, since then.
+func replySentAt(startedAt, now, wait clock.Millis, hasWaited bool) clock.Millis {
+	if !hasWaited {
+		return startedAt
+	}
+	return min(now, startedAt+wait)
+}
+
 // defaultApplyBound stands for an apply bound that is not set. The timing of a lead is that of
 // a reader then.
 const defaultApplyBound = 30 * clock.Second
@@ -79,15 +91,17 @@
 	if role != Lead {
 		return timing
 	}
-	applyBound = cmp.Or(applyBound, defaultApplyBound)
 	return callTiming{
-		wait:     min(applyBound*leadWaitPercent/percent, timing.wait),
-		margin:   min(applyBound*leadMarginPercent/percent, timing.margin),
-		maxPause: min(applyBound*leadPausePercent/percent, timing.maxPause),
+		wait:     min(partOf(applyBound, leadWaitPercent), timing.wait),
+		margin:   min(partOf(applyBound, leadMarginPercent), timing.margin),
+		maxPause: min(partOf(applyBound, leadPausePercent), timing.maxPause),
 	}
 }
 
-const percent = 100
+// partOf returns a part of an apply bound, in percent.
+func partOf(applyBound clock.Millis, percent clock.Millis) clock.Millis {
+	return cmp.Or(applyBound, defaultApplyBound) * percent / 100
+}
 
 // Reasons to end a call that waits for changes before its time.
 var (
@@ -129,7 +143,7 @@
 // beginRelay reports whether the confirmation is so much newer than what has been relayed that
 // it has to be relayed too, and counts it as relayed then.
 func (f *freshness) beginRelay(applyBound clock.Millis) bool {
-	if f.confirmedAt-f.relayedAt < cmp.Or(applyBound, defaultApplyBound)*relayStepPercent/percent {
+	if f.confirmedAt-f.relayedAt < partOf(applyBound, relayStepPercent) {
 		return false
 	}
 	f.relayedAt = f.confirmedAt
--- a/daemon/follower/relaying.go
+++ b/daemon/follower/relaying.go
@@ -25,19 +25,24 @@
 type relayQueue struct {
 	// queued holds the roots of the relays that have come and wait for rows.
 	queued []string
-	// passedAt holds, by root, the newest confirmation of the last relay that was passed on.
-	passedAt map[string]clock.Millis
+	// passed holds, by root, the confirmations of the last relay that was passed on.
+	passed map[string]confirmations
 }
 
+// confirmations holds when the rows of the configuration's table and of that of upstreams were
+// confirmed last.
+type confirmations struct{ config, upstreams clock.Millis }
+
 // isNews reports whether a relay has to be passed on, and counts it as passed on then.
-func (q *relayQueue) isNews(root string, confirmedAt clock.Millis) bool {
-	if last, found := q.passedAt[root]; found && confirmedAt-last < minRelayStep {
+func (q *relayQueue) isNews(root string, known confirmations) bool {
+	last, found := q.passed[root]
+	if found && known.config-last.config < minRelayStep && known.upstreams-last.upstreams < minRelayStep {
 		return false
 	}
-	if q.passedAt == nil || len(q.passedAt) >= maxRelayRoots {
-		q.passedAt = map[string]clock.Millis{}
+	if q.passed == nil || len(q.passed) >= maxRelayRoots {
+		q.passed = map[string]confirmations{}
 	}
-	q.passedAt[root] = confirmedAt
+	q.passed[root] = known
 	return true
 }
 
@@ -67,9 +72,9 @@
 // relayQueued passes the relays of some roots on.
 func (x *Exchanger) relayQueued(ctx context.Context, roots []string) {
 	for _, root := range roots {
-		confirmedAt := x.Follower.noteRelay()
+		known := x.Follower.noteRelay()
 		x.mu.Lock()
-		isNews := x.relays.isNews(root, confirmedAt)
+		isNews := x.relays.isNews(root, known)
 		x.mu.Unlock()
 		if !isNews {
 			continue
--- a/daemon/follower/relaying_test.go
+++ b/daemon/follower/relaying_test.go
@@ -46,13 +46,25 @@
 // each other for good, each time with a little older confirmation.
 func TestRelayThatGoesRoundEnds(t *testing.T) {
 	var q relayQueue
-	if !q.isNews("a", 1000) || q.isNews("a", 1000+minRelayStep-1) || !q.isNews("a", 1000+minRelayStep) || !q.isNews("b", 1000) {
-		t.Error("a relay is passed on twice, or a newer one is not")
+	for i, c := range []struct {
+		root  string
+		known confirmations
+		want  bool
+	}{
+		{"a", confirmations{1000, 1000}, true},
+		{"a", confirmations{1000 + minRelayStep - 1, 1000 + minRelayStep - 1}, false},
+		{"a", confirmations{1000 + minRelayStep, 1000}, true},
+		{"a", confirmations{1000 + minRelayStep, 1000 + minRelayStep}, true},
+		{"b", confirmations{1000, 1000}, true},
+	} {
+		if isNews := q.isNews(c.root, c.known); isNews != c.want {
+			t.Errorf("relay %d is passed on: %t", i, isNews)
+		}
 	}
 	for i := range 2 * maxRelayRoots {
-		q.isNews(fmt.Sprint(i), 1)
+		q.isNews(fmt.Sprint(i), confirmations{1, 1})
 	}
-	if len(q.passedAt) > maxRelayRoots {
-		t.Errorf("%d roots are remembered", len(q.passedAt))
+	if len(q.passed) > maxRelayRoots {
+		t.Errorf("%d roots are remembered", len(q.passed))
 	}
 }
--- a/daemon/follower/replies.go
+++ b/daemon/follower/replies.go
@@ -41,28 +41,27 @@
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	isCredible := f.checkStandstill()
 	for _, v := range peerVersions {
 		if v.GetTable() == f.Tables.Config {
 			f.peerRevision = v.GetRevision()
 		}
 		known, followed := f.freshness[v.GetTable()]
-		if followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
+		if isCredible && followed && v.GetConfirmedMsAgo() > 0 && Version(v.GetVersion()) <= f.settledVersion(v.GetTable()) {
 			known.confirm(f.Clock.Now()-clock.Millis(v.GetConfirmedMsAgo()), v.GetConfirmedBy())
 		}
 	}
 }
 
-// noteRelay records that what is confirmed here is being relayed, and returns the newest moment
-// of it.
-func (f *Follower) noteRelay() (newest clock.Millis) {
+// noteRelay records that what is confirmed here is being relayed, and returns it.
+func (f *Follower) noteRelay() (relayed confirmations) {
 	f.setup()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, known := range f.freshness {
 		known.relayedAt = known.confirmedAt
-		newest = max(newest, known.confirmedAt)
 	}
-	return newest
+	return confirmations{f.freshness[f.Tables.Config].confirmedAt, f.freshness[f.Tables.Upstreams].confirmedAt}
 }
 
 // settledVersion returns the version up to which all rows of a table may be sent to
--- a/daemon/follower/silence_test.go
+++ b/daemon/follower/silence_test.go
@@ -215,6 +215,7 @@
 			Name: self.Name, Register: register(self.Name), Decoder: testDecoder{}, Clock: wallClock{}, ApplyBound: applyBound,
 			Tables: Tables{Config: "c", ConfigKey: "k", Upstreams: "u"},
 		}
+		f.bootTime = f.Clock.Now
 		p := &loopPeers{Exchanger: &Exchanger{Follower: f, View: view}}
 		p.transport = p.carry
 		f.Peers, f.Duty = p, p.Duty
