Don't pass on a refusal by an older configuration of another daemon

What callers see: 404 or 401 from a daemon that knows the route and the key, and has served it before (CONFIG: came back older, or not in force in time).

Cause, by reading: a daemon that is cut off from the upstreams passes requests on to others. One that had not learned the newest configuration yet refused with 404 or 401, and that was the answer, although the first daemon had admitted the request. Members are asked whatever their revision, and a daemon that is cut off from the store as well stays in touch with its peers. Class: a decision is taken again by one who knows less.

Change: such a refusal counts as that of a daemon that can't serve now while the route and the organisation are still configured here: a third daemon is asked, and without one the caller is told 503 with a Retry-After, which is true, as the request has not run.

Test: TestPassedOnRequestIsNotRefusedByAnOlderConfiguration failed before with 404 for all kinds of requests, also where a third daemon would have served.

--- a/daemon/forwarder/delegate.go
+++ b/daemon/forwarder/delegate.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/inventory"
 	"yuccaspread/common/logger"
 	"yuccaspread/daemon/classifier"
 	"yuccaspread/daemon/noticer"
@@ -98,6 +99,9 @@
 			return r.giveUpDelegation(reason, outcomeNoPeer, refused)
 		}
 		end, err := r.delegateTo(ctx, peer, reason)
+		if end == notRun && r.isFromOlderConfiguration(err) {
+			err = refusedByOlderConfiguration(err)
+		}
 		switch {
 		case end == notSent:
 		case end == notRun && isElsewhere(err):
@@ -115,6 +119,27 @@
 	return false, cmp.Or(refused, ctx.Err())
 }
 
+// isFromOlderConfiguration reports whether another daemon has no route or credential for a request
+// that has both here.
+func (r *requestState) isFromOlderConfiguration(err error) bool {
+	var refusal *refuser.Refusal
+	if !errors.As(err, &refusal) || (refusal.Status != http.StatusNotFound && refusal.Status != http.StatusUnauthorized) {
+		return false
+	}
+	config := r.Source.Current()
+	_, hasRoute := inventory.Lookup(config.Routes, r.req.Route)
+	_, hasOrganisation := inventory.Lookup(config.Organisations, r.req.Organisation)
+	return hasRoute && (hasOrganisation || r.req.Organisation == "")
+}
+
+// refusedByOlderConfiguration returns the refusal of a daemon with an older configuration as one
+// that does not hold for good.
+func refusedByOlderConfiguration(err error) error {
+	refusal := refuser.New(http.StatusServiceUnavailable, "configuration may be outdated", err.Error())
+	refusal.RetryAfter = cutOffRetryAfter
+	return refusal
+}
+
 // isElsewhere reports whether the reason of another daemon's refusal may be none at a third one.
 func isElsewhere(err error) bool {
 	var refusal *refuser.Refusal
--- a/daemon/forwarder/delegate_test.go
+++ b/daemon/forwarder/delegate_test.go
@@ -230,6 +230,31 @@
 	}
 }
 
+// TestPassedOnRequestIsNotRefusedByAnOlderConfiguration guards against a request that is admitted by
+// a configuration and then refused for good as an older one says, by a daemon that it is passed on to.
+func TestPassedOnRequestIsNotRefusedByAnOlderConfiguration(t *testing.T) {
+	for name, older := range map[string]func(c *inventory.Config){
+		"route": func(c *inventory.Config) { c.Routes = nil },
+		"key":   func(c *inventory.Config) { c.Organisations = nil },
+	} {
+		for _, kind := range kinds() {
+			workers := &upstreams{t: t}
+			second, third := newDaemon(t, workers.start(1)), newDaemon(t, workers.start(1))
+			older(&second.Source.(*fixedSource).config)
+			alone := newDaemon(t, nil, second.peer("b"))
+			alone.survey.cut.Store(true)
+			if c := alone.do(t.Context(), kind, "1"); c.refusal == nil || c.refusal.Status != http.StatusServiceUnavailable || c.refusal.RetryAfter <= 0 {
+				t.Errorf("%s, %s, no third daemon: %v", name, kind, c)
+			}
+			first := newDaemon(t, nil, second.peer("b"), third.peer("c"))
+			first.survey.cut.Store(true)
+			if c := first.do(t.Context(), kind, "2"); c.err != nil || c.recorder.Body.String() != wholeAnswer(kind, "2") || workers.ran("2") != 1 {
+				t.Errorf("%s, %s: %v", name, kind, c)
+			}
+		}
+	}
+}
+
 // TestRefusalsOfOtherDaemonsAreTrue guards against a caller who is told that a request has not run without the
 // word of the daemon that had it, and against refusals that lose their Retry-After.
 func TestRefusalsOfOtherDaemonsAreTrue(t *testing.T) {
