Refuse for good only by a configuration that can't be outdated

What callers see: 404 or 401 from a daemon that could not learn of a route or a key; they don't repeat such a request, though other daemons would serve it.

Cause: a refusal didn't ask how old the state was by which it was decided. Class: a state that others rely on doesn't tell how old it is.

Change: where nobody has confirmed the configuration within the apply bound, a request without route or credential is refused with 503 and Retry-After 0.2 s, as by a daemon that knows no configuration yet. Known routes and keys are served as before. The line of the refusal has may_be_outdated.

--- a/common/inventory/source.go
+++ b/common/inventory/source.go
@@ -13,6 +13,9 @@
 	// ConfirmedMSAgo is the age of that confirmation.
 	ConfirmedBy    string
 	ConfirmedMSAgo clock.Millis
+	// MayBeOutdated is set if nobody has confirmed that within the time in which an acknowledged
+	// configuration has to be in force.
+	MayBeOutdated bool
 }
 
 // Source provides the configuration that is in force at this daemon.
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -309,6 +309,7 @@
 	if known := f.freshness[f.Tables.Config]; known.confirmedAt > 0 {
 		p.ConfirmedBy, p.ConfirmedMSAgo = known.confirmedBy, now-known.confirmedAt
 	}
+	p.MayBeOutdated = p.ConfirmedBy == "" || p.ConfirmedMSAgo > partOf(f.ApplyBound, 100)
 	return p
 }
 
--- a/daemon/follower/unconfirmed_test.go
+++ b/daemon/follower/unconfirmed_test.go
@@ -140,3 +140,35 @@
 		}
 	}
 }
+
+// TestDaemonKnowsThatItMayBeOutdated guards against a daemon that answers for good by a
+// configuration that nobody has confirmed within the apply bound, and against one that doubts a
+// configuration that is confirmed.
+func TestDaemonKnowsThatItMayBeOutdated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const applyBound = 4 * clock.Second
+		r := &silentRegister{}
+		r.put("c", "k", configOf(1))
+		fleet, paths := startFleetWithPaths(t, r, 20, applyBound)
+		check := func(when string, want bool) {
+			t.Helper()
+			for _, d := range fleet {
+				if p := d.Follower.Provenance(); p.MayBeOutdated != want {
+					t.Errorf("%s: %s, %+v", when, d.View.Self().Name, p)
+				}
+			}
+		}
+		for range 20 {
+			time.Sleep(time.Second)
+			check("while the register answers", false)
+		}
+		for _, d := range fleet {
+			paths.set(d.View.Self().Name, pathSilent)
+		}
+		time.Sleep((applyBound + clock.Millisecond).Duration())
+		check("without a register", true)
+		paths.set(fleet[7].View.Self().Name, 0)
+		time.Sleep(applyBound.Duration())
+		check("once one daemon reads again", false)
+	})
+}
--- a/daemon/listener/listener.go
+++ b/daemon/listener/listener.go
@@ -38,6 +38,9 @@
 	defaultBodyTimeout = 30 * clock.Second
 	// busyRetryAfter is the Retry-After time of a request whose body the daemon has no memory for.
 	busyRetryAfter = 1 * clock.Second
+	// outdatedRetryAfter is the Retry-After time of a request that another daemon may have a route
+	// or credential for.
+	outdatedRetryAfter = 200 * clock.Millisecond
 )
 
 // Listener is an http.Handler. Its exported fields are set before use.
@@ -133,8 +136,7 @@
 	c := l.currentClassifier()
 	admission, err := c.Admit(head)
 	if err != nil {
-		l.logEarlyRefusal(head.ID, err, c.Revision())
-		return err
+		return l.refuseEarly(head.ID, err, c.Revision())
 	}
 	w.organisation = admission.Organisation.Name
 	body, release, err := l.readBounded(w, r)
@@ -145,14 +147,23 @@
 	return l.handle(w, r, c.Complete(admission, head, body))
 }
 
-// logEarlyRefusal logs why a request was refused, by which revision, and how current that was.
-func (l *Listener) logEarlyRefusal(id string, err error, revision int64) {
+// refuseEarly logs why a request is refused, by which revision, and how current that is, and
+// returns the refusal. Callers don't repeat what has no route or credential, so that this is only
+// said by a configuration that can't be outdated.
+func (l *Listener) refuseEarly(id string, reason error, revision int64) error {
 	var p inventory.Provenance
 	if l.Provenance != nil {
 		p = l.Provenance()
 	}
-	klog.InfoS("request refused before its body was read", logger.KeyRequest, id, "reason", err.Error(), "revision", revision,
-		"in_force_ms", p.InForceMS, "from", p.From, "confirmed_ms_ago", p.ConfirmedMSAgo, "confirmed_by", p.ConfirmedBy)
+	klog.InfoS("request refused before its body was read", logger.KeyRequest, id, "reason", reason.Error(), "revision", revision,
+		"in_force_ms", p.InForceMS, "from", p.From, "confirmed_ms_ago", p.ConfirmedMSAgo, "confirmed_by", p.ConfirmedBy, "may_be_outdated", p.MayBeOutdated)
+	var refusal *refuser.Refusal
+	if !p.MayBeOutdated || !errors.As(reason, &refusal) || (refusal.Status != http.StatusNotFound && refusal.Status != http.StatusUnauthorized) {
+		return reason
+	}
+	outdated := refuser.New(http.StatusServiceUnavailable, "configuration may be outdated", reason.Error())
+	outdated.RetryAfter = outdatedRetryAfter
+	return outdated
 }
 
 // handle adds the classification to the trace span and calls the handler.
