Take the word of a build that doesn't say who read the register

Found by reading: a daemon beside peers of an older build took their confirmations, but as these name nobody it counted its configuration as unconfirmed and would have answered 503 in place of 404 and 401 while machines are replaced one after the other.

Change: the age decides, not the name.

Test: TestWordOfAnOlderBuildConfirms failed before. In fleets of one build nothing changes.

--- a/common/inventory/source.go
+++ b/common/inventory/source.go
@@ -9,8 +9,8 @@
 	// From names who sent the configuration, and InForceMS is how long it has been in force.
 	From      string
 	InForceMS clock.Millis
-	// ConfirmedBy names who confirmed last that there is no newer one, empty if nobody did, and
-	// ConfirmedMSAgo is the age of that confirmation.
+	// ConfirmedBy names who confirmed last that there is no newer one, empty if nobody did or that
+	// is not known, and ConfirmedMSAgo is the age of that confirmation.
 	ConfirmedBy    string
 	ConfirmedMSAgo clock.Millis
 	// MayBeOutdated is set if nobody has confirmed that within the time in which an acknowledged
--- a/daemon/follower/follower.go
+++ b/daemon/follower/follower.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -306,10 +307,11 @@
 	}
 	now := f.Clock.Now()
 	p = inventory.Provenance{Revision: f.config.Revision, From: f.configFrom, InForceMS: now - f.configSince}
-	if known := f.freshness[f.Tables.Config]; known.confirmedAt > 0 {
+	known := f.freshness[f.Tables.Config]
+	if known.confirmedAt > 0 {
 		p.ConfirmedBy, p.ConfirmedMSAgo = known.confirmedBy, now-known.confirmedAt
 	}
-	p.MayBeOutdated = p.ConfirmedBy == "" || p.ConfirmedMSAgo > partOf(f.ApplyBound, 100)
+	p.MayBeOutdated = known.confirmedAt == 0 || p.ConfirmedMSAgo > cmp.Or(f.ApplyBound, defaultApplyBound)
 	return p
 }
 
--- a/daemon/follower/unconfirmed_test.go
+++ b/daemon/follower/unconfirmed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yuccaspread/common/clock"
+	"yuccaspread/common/wire"
 )
 
 // pathState is the state of a daemon's path to the register.
@@ -197,3 +198,18 @@
 		t.Errorf("each of 200 daemons is called %d times in the first seconds, each of 20 %d times", large, small)
 	}
 }
+
+// TestWordOfAnOlderBuildConfirms guards against daemons that doubt their configuration beside peers of
+// a build that doesn't tell who read the register.
+func TestWordOfAnOlderBuildConfirms(t *testing.T) {
+	f, now := newIdleFollower(), &manualClock{now: 10_000}
+	f.Clock, f.Decoder, f.ApplyBound = now, testDecoder{}, 4000
+	f.applyConfig(Row{Table: "c", Key: "k", Value: []byte(configOf(1)), Version: 1}, "peer")
+	if !f.Provenance().MayBeOutdated {
+		t.Error("nobody has confirmed the configuration")
+	}
+	f.noteConfirmations([]*wire.TableVersion{{Table: "c", ConfirmedMsAgo: 5}})
+	if p := f.Provenance(); p.MayBeOutdated || p.ConfirmedMSAgo != 5 {
+		t.Errorf("%+v", p)
+	}
+}
